--- /dev/null
+++ b/bench/cluster/process.cc
@@ -0,0 +1,117 @@
+#include "bench/cluster/process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+extern char** environ;
+
+namespace cardamom {
+
+Process::Process(const std::string& program,
+                 const std::vector<std::string>& arguments,
+                 const std::string& log_path) {
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_path.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  std::vector<char*> raw;
+  raw.push_back(const_cast<char*>(program.c_str()));
+  for (const auto& argument : arguments) {
+    raw.push_back(const_cast<char*>(argument.c_str()));
+  }
+  raw.push_back(nullptr);
+  const int failed = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, raw.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(ends[1]);
+  m_output = ends[0];
+  if (failed != 0) {
+    m_pid = -1;
+    throw std::runtime_error("cannot start " + program);
+  }
+}
+
+Process::~Process() {
+  Kill();
+  if (m_output >= 0) {
+    close(m_output);
+  }
+}
+
+std::string Process::ReadLine() {
+  std::string line;
+  char c = 0;
+  while (read(m_output, &c, 1) == 1 && c != '\n') {
+    line += c;
+  }
+  return line;
+}
+
+void Process::Signal(int number) const {
+  if (m_pid > 0) {
+    kill(m_pid, number);
+  }
+}
+
+void Process::Kill() {
+  if (m_pid > 0) {
+    kill(m_pid, SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+    m_pid = -1;
+  }
+}
+
+void Process::Freeze() const {
+  Signal(SIGSTOP);
+}
+
+void Process::Thaw() const {
+  Signal(SIGCONT);
+}
+
+std::optional<int> Process::Wait(Millis timeout) {
+  const auto deadline = Clock::now() + timeout;
+  int status = 0;
+  while (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == 0) {
+    if (Clock::now() >= deadline) {
+      return std::nullopt;
+    }
+    std::this_thread::sleep_for(Millis(5));
+  }
+  m_pid = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+ProcessUsage UsageOf(pid_t pid) {
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string text(std::istreambuf_iterator<char>(stat), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::vector<std::string> values;
+  for (std::string value; fields >> value;) {
+    values.push_back(value);
+  }
+  // Counted from the state field: user time, system time and resident pages.
+  constexpr std::size_t kUserTime = 11;
+  constexpr std::size_t kSystemTime = 12;
+  constexpr std::size_t kResident = 21;
+  ProcessUsage usage;
+  usage.cpu_seconds = (std::stod(values.at(kUserTime)) + std::stod(values.at(kSystemTime))) /
+                      static_cast<double>(sysconf(_SC_CLK_TCK));
+  usage.resident_bytes =
+      std::stoull(values.at(kResident)) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  return usage;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/include/cardamom/event_code.h
@@ -0,0 +1,59 @@
+// Numbered events of the log and the time line. docs/EVENTS.md describes each; a test keeps the two
+// in step.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace cardamom {
+
+enum class EventCode : int {
+  // 1xx: process.
+  kProcessStarted = 100,
+  kProcessStopping = 101,
+  kProcessStopped = 102,
+  kReady = 103,
+  kNotReady = 104,
+  // 2xx: configuration.
+  kConfigAdopted = 200,
+  kRecordSubmitted = 201,
+  kRecordNotUnderstood = 202,
+  kPlatformUnreachable = 203,
+  kPlatformReachable = 204,
+  // 3xx: failover.
+  kPrimarySuspected = 300,
+  kTermAllocated = 301,
+  kServerFenced = 302,
+  kPrimaryPromoted = 303,
+  kTermComplete = 304,
+  kPromotionFailed = 305,
+  kTermLearned = 306,
+  kTermReserved = 307,
+  kSwitchoverStarted = 308,
+  kReservedTermUsed = 309,
+  // 4xx: requests.
+  kWriteWaited = 400,
+  kOutcomeUnknown = 401,
+  kTransactionAbandoned = 402,
+  kReadWentToPrimary = 403,
+  kRequestRefused = 404,
+  // 5xx: connections.
+  kEndpointUnreachable = 500,
+  kEndpointReachable = 501,
+  kEndpointDropped = 502,
+};
+
+struct EventCodeInfo {
+  EventCode code;
+  std::string_view name;
+  std::string_view level;
+  std::string_view meaning;
+};
+
+// All events in ascending order. Thread safe.
+std::span<const EventCodeInfo> AllEventCodes();
+
+// The entry of `code`. Precondition: `code` is one of the enumerators. Thread safe.
+const EventCodeInfo& InfoOf(EventCode code);
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/events/event_code.cc
@@ -0,0 +1,80 @@
+#include "cardamom/event_code.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace cardamom {
+namespace {
+
+constexpr std::array kEvents = {
+    EventCodeInfo{EventCode::kProcessStarted, "process_started", "info",
+                  "The process listens on its addresses."},
+    EventCodeInfo{EventCode::kProcessStopping, "process_stopping", "info",
+                  "A graceful stop began."},
+    EventCodeInfo{EventCode::kProcessStopped, "process_stopped", "info",
+                  "All work in progress has ended."},
+    EventCodeInfo{EventCode::kReady, "ready", "info", "The proxy takes new callers."},
+    EventCodeInfo{EventCode::kNotReady, "not_ready", "warn", "The proxy takes no new callers."},
+    EventCodeInfo{EventCode::kConfigAdopted, "config_adopted", "info",
+                  "A greater revision of the configuration is in force."},
+    EventCodeInfo{EventCode::kRecordSubmitted, "record_submitted", "info",
+                  "A record was accepted by the platform's table."},
+    EventCodeInfo{EventCode::kRecordNotUnderstood, "record_not_understood", "warn",
+                  "A record has an unknown schema version; the last understood one stays."},
+    EventCodeInfo{EventCode::kPlatformUnreachable, "platform_unreachable", "warn",
+                  "The platform's table does not answer."},
+    EventCodeInfo{EventCode::kPlatformReachable, "platform_reachable", "info",
+                  "The platform's table answers again."},
+    EventCodeInfo{EventCode::kPrimarySuspected, "primary_suspected", "warn",
+                  "The steward holds the primary for failed."},
+    EventCodeInfo{EventCode::kTermAllocated, "term_allocated", "info",
+                  "A term was allocated in the platform's table."},
+    EventCodeInfo{EventCode::kServerFenced, "server_fenced", "info",
+                  "A server answered a fence request."},
+    EventCodeInfo{EventCode::kPrimaryPromoted, "primary_promoted", "info",
+                  "A server opened a term as its primary."},
+    EventCodeInfo{EventCode::kTermComplete, "term_complete", "info",
+                  "A majority of the voters holds the first entry of the term."},
+    EventCodeInfo{EventCode::kPromotionFailed, "promotion_failed", "warn",
+                  "A promotion did not finish; it is tried again at a greater term."},
+    EventCodeInfo{EventCode::kTermLearned, "term_learned", "info",
+                  "The proxy learned of a greater term and its primary."},
+    EventCodeInfo{EventCode::kTermReserved, "term_reserved", "info",
+                  "The steward reserved a term in advance."},
+    EventCodeInfo{EventCode::kSwitchoverStarted, "switchover_started", "info",
+                  "A planned change of primary began."},
+    EventCodeInfo{EventCode::kReservedTermUsed, "reserved_term_used", "info",
+                  "A promotion used the reserved term because the table did not answer."},
+    EventCodeInfo{EventCode::kWriteWaited, "write_waited", "debug",
+                  "A write waited for a change of primary."},
+    EventCodeInfo{EventCode::kOutcomeUnknown, "outcome_unknown", "warn",
+                  "A caller was told that the outcome of its work is unknown."},
+    EventCodeInfo{EventCode::kTransactionAbandoned, "transaction_abandoned", "info",
+                  "An idle transaction was rolled back."},
+    EventCodeInfo{EventCode::kReadWentToPrimary, "read_went_to_primary", "debug",
+                  "No replica could serve a read."},
+    EventCodeInfo{EventCode::kRequestRefused, "request_refused", "debug",
+                  "A request was refused as not run."},
+    EventCodeInfo{EventCode::kEndpointUnreachable, "endpoint_unreachable", "warn",
+                  "An endpoint does not answer this proxy."},
+    EventCodeInfo{EventCode::kEndpointReachable, "endpoint_reachable", "info",
+                  "An endpoint answers this proxy again."},
+    EventCodeInfo{EventCode::kEndpointDropped, "endpoint_dropped", "info",
+                  "An endpoint left the records; its connections are closed."},
+};
+
+}  // namespace
+
+std::span<const EventCodeInfo> AllEventCodes() {
+  return kEvents;
+}
+
+const EventCodeInfo& InfoOf(EventCode code) {
+  const auto it = std::find_if(kEvents.begin(), kEvents.end(),
+                               [code](const EventCodeInfo& info) { return info.code == code; });
+  assert(it != kEvents.end());
+  return *it;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/events/event_log.cc
@@ -0,0 +1,114 @@
+#include "events/event_log.h"
+
+#include <memory>
+#include <utility>
+
+#include <fmt/format.h>
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include "core/clock.h"
+
+namespace cardamom {
+namespace {
+
+LogFormat g_format = LogFormat::kText;
+
+log4cplus::LogLevel LevelOf(std::string_view name) {
+  if (name == "debug") {
+    return log4cplus::DEBUG_LOG_LEVEL;
+  }
+  if (name == "warn") {
+    return log4cplus::WARN_LOG_LEVEL;
+  }
+  if (name == "error") {
+    return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+std::string ToText(const Event& event) {
+  auto line = fmt::format("{} {} vm={}", event.code, event.name, event.vm);
+  const auto add = [&line](std::string_view name, const std::string& value) {
+    if (!value.empty()) {
+      line += fmt::format(" {}={}", name, value);
+    }
+  };
+  const auto& subject = event.subject;
+  add("group", subject.group.value());
+  add("endpoint", subject.endpoint.value());
+  add("term", subject.term.value() == 0 ? "" : std::to_string(subject.term.value()));
+  add("index", subject.index.value() == 0 ? "" : std::to_string(subject.index.value()));
+  add("request", subject.request);
+  add("detail", subject.detail);
+  return line;
+}
+
+}  // namespace
+
+EventLog::EventLog(VmId vm, std::size_t capacity) : m_vm(std::move(vm)), m_capacity(capacity) {}
+
+void EventLog::ConfigureLogging(LogFormat format, const std::string& level) {
+  g_format = format;
+  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      format == LogFormat::kJson ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
+  auto root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  root.addAppender(appender);
+  root.setLogLevel(LevelOf(level));
+}
+
+void EventLog::Advance() {
+  const auto wall = WallMillis();
+  if (wall > m_time_ms) {
+    m_time_ms = wall;
+    m_logical = 0;
+  } else {
+    ++m_logical;
+  }
+}
+
+void EventLog::Emit(EventCode code, const EventSubject& subject) {
+  const auto& info = InfoOf(code);
+  Event event{static_cast<int>(code), std::string(info.name), 0, 0, m_vm.value(), subject};
+  {
+    const std::lock_guard lock(m_mutex);
+    Advance();
+    event.time_ms = m_time_ms;
+    event.logical = m_logical;
+    m_ring.push_back(event);
+    if (m_ring.size() > m_capacity) {
+      m_ring.pop_front();
+    }
+  }
+  auto logger = log4cplus::Logger::getRoot();
+  const auto level = LevelOf(info.level);
+  if (logger.isEnabledFor(level)) {
+    logger.forcedLog(level, g_format == LogFormat::kJson ? Encode(event) : ToText(event));
+  }
+}
+
+void EventLog::Witness(std::int64_t time_ms) {
+  const std::lock_guard lock(m_mutex);
+  if (time_ms > m_time_ms) {
+    m_time_ms = time_ms;
+    m_logical = 0;
+  }
+}
+
+std::int64_t EventLog::Now() {
+  const std::lock_guard lock(m_mutex);
+  Advance();
+  return m_time_ms;
+}
+
+std::vector<Event> EventLog::Snapshot() const {
+  const std::lock_guard lock(m_mutex);
+  return {m_ring.begin(), m_ring.end()};
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/failover/promotion_plan.cc
@@ -0,0 +1,92 @@
+#include "failover/promotion_plan.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+#include <utility>
+
+#include "group/term_note.h"
+
+namespace cardamom {
+namespace {
+
+template <typename Contains>
+bool HasMajority(const std::vector<EndpointId>& voters, const Contains& contains) {
+  const auto count = std::count_if(voters.begin(), voters.end(), contains);
+  return static_cast<std::size_t>(count) >= MajorityOf(voters.size());
+}
+
+}  // namespace
+
+PromotionPlan::PromotionPlan(PromotionTask task, std::vector<EndpointId> eligible)
+    : m_task(std::move(task)), m_eligible(std::move(eligible)) {}
+
+std::vector<EndpointId> PromotionPlan::Targets() const {
+  std::set<EndpointId> targets(m_task.allocation.voters.begin(), m_task.allocation.voters.end());
+  for (const auto& set : m_task.sets) {
+    targets.insert(set.begin(), set.end());
+  }
+  return {targets.begin(), targets.end()};
+}
+
+bool PromotionPlan::CanFinish(const std::vector<EndpointId>& reachable) const {
+  const auto contains = [&](const EndpointId& id) {
+    return std::find(reachable.begin(), reachable.end(), id) != reachable.end();
+  };
+  const auto& voters = m_task.allocation.voters;
+  const bool has_candidate =
+      std::any_of(m_eligible.begin(), m_eligible.end(), [&](const EndpointId& id) {
+        return contains(id) && std::find(voters.begin(), voters.end(), id) != voters.end();
+      });
+  return has_candidate && HasMajority(voters, contains) &&
+         std::all_of(m_task.sets.begin(), m_task.sets.end(),
+                     [&](const auto& set) { return HasMajority(set, contains); });
+}
+
+void PromotionPlan::OnFenced(const EndpointId& endpoint, Position last) {
+  m_fenced[endpoint] = last;
+}
+
+bool PromotionPlan::IsFenced() const {
+  const auto contains = [&](const EndpointId& id) { return m_fenced.contains(id); };
+  return HasMajority(m_task.allocation.voters, contains) &&
+         std::all_of(m_task.sets.begin(), m_task.sets.end(),
+                     [&](const auto& set) { return HasMajority(set, contains); });
+}
+
+Position PromotionPlan::Best() const {
+  assert(!m_fenced.empty());
+  Position best;
+  for (const auto& [id, last] : m_fenced) {
+    best = std::max(best, last);
+  }
+  return best;
+}
+
+EndpointId PromotionPlan::Source() const {
+  const auto best = Best();
+  const auto it = std::find_if(m_fenced.begin(), m_fenced.end(),
+                               [&](const auto& item) { return item.second == best; });
+  return it->first;
+}
+
+std::optional<EndpointId> PromotionPlan::Candidate() const {
+  const auto best = Best();
+  std::optional<EndpointId> behind;
+  for (const auto& id : m_eligible) {
+    const auto& voters = m_task.allocation.voters;
+    const auto fenced = m_fenced.find(id);
+    if (fenced == m_fenced.end() || std::find(voters.begin(), voters.end(), id) == voters.end()) {
+      continue;
+    }
+    if (fenced->second == best) {
+      return id;
+    }
+    if (!behind) {
+      behind = id;
+    }
+  }
+  return behind;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/failover/term_row.cc
@@ -0,0 +1,48 @@
+#include "failover/term_row.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamom {
+
+TermAllocation TermRow::Allocate(std::vector<EndpointId> voters, const std::string& owner) {
+  last = Term(last.value() + 1);
+  allocations.push_back({last, std::move(voters), owner});
+  return allocations.back();
+}
+
+const TermAllocation* TermRow::Find(Term term) const {
+  const auto it = std::find_if(allocations.begin(), allocations.end(),
+                               [term](const TermAllocation& a) { return a.term == term; });
+  return it == allocations.end() ? nullptr : &*it;
+}
+
+std::optional<PromotionTask> TermRow::TaskOf(Term term) const {
+  const auto* own = Find(term);
+  if (own == nullptr || term <= complete) {
+    return std::nullopt;
+  }
+  PromotionTask task{*own, {}};
+  for (const auto& allocation : allocations) {
+    const bool earlier = allocation.term < term;
+    if (earlier &&
+        std::find(task.sets.begin(), task.sets.end(), allocation.voters) == task.sets.end()) {
+      task.sets.push_back(allocation.voters);
+    }
+  }
+  if (task.sets.empty()) {
+    // The first term of a group: its own voters are all that may hold data.
+    task.sets.push_back(own->voters);
+  }
+  return task;
+}
+
+void TermRow::MarkComplete(Term term) {
+  if (term <= complete || Find(term) == nullptr) {
+    return;
+  }
+  complete = term;
+  std::erase_if(allocations, [term](const TermAllocation& a) { return a.term < term; });
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/group/group_view.cc
@@ -0,0 +1,187 @@
+#include "group/group_view.h"
+
+#include <algorithm>
+
+namespace cardamom {
+namespace {
+
+constexpr std::size_t kMaxSamples = 512;
+constexpr Millis kSampleSpacing{5};
+
+// The value that at least a majority of `count` voters reaches, given one value for each that has
+// one.
+template <typename T>
+std::optional<T> MajorityValue(std::vector<T> values, std::size_t count) {
+  const auto needed = MajorityOf(count);
+  if (count == 0 || values.size() < needed) {
+    return std::nullopt;
+  }
+  std::sort(values.rbegin(), values.rend());
+  return values[needed - 1];
+}
+
+}  // namespace
+
+bool GroupView::Observe(const ServerState& state, TimePoint sent, TimePoint received) {
+  HearOfTerm(state.fenced);
+  const bool learned = state.lineage > m_term;
+  if (learned) {
+    AdoptTerm(state);
+  }
+  auto& server = m_servers[state.endpoint];
+  server.reachable = true;
+  server.failing_since.reset();
+  server.received = received;
+  if (state.fenced <= m_term && (!server.unfenced || sent > *server.unfenced)) {
+    server.unfenced = sent;
+  }
+  // Answers may arrive out of order; a server's lineage and what it holds in it only grow, and it
+  // is the question sent last that tells the newest state.
+  if (sent >= server.sent || state.instance != server.state.instance) {
+    server.state = state;
+    server.sent = sent;
+  }
+  if (state.is_primary && state.lineage == m_term) {
+    TakeSample(state, sent);
+  }
+  UpdateCommitted();
+  return learned;
+}
+
+void GroupView::AdoptTerm(const ServerState& state) {
+  m_term = state.lineage;
+  m_start = state.start;
+  auto note = Decode<TermNote>(state.note);
+  m_note = note ? std::move(*note) : TermNote{};
+  m_samples.clear();
+  for (auto& [id, server] : m_servers) {
+    server.unfenced.reset();
+  }
+}
+
+void GroupView::TakeSample(const ServerState& state, TimePoint sent) {
+  if (!m_samples.empty() && sent < m_samples.back().sent + kSampleSpacing) {
+    return;
+  }
+  m_samples.push_back({sent, state.held});
+  if (m_samples.size() > kMaxSamples) {
+    m_samples.pop_front();
+  }
+}
+
+void GroupView::ObserveFailure(const EndpointId& endpoint, TimePoint now) {
+  auto& server = m_servers[endpoint];
+  server.reachable = false;
+  if (!server.failing_since) {
+    server.failing_since = now;
+  }
+}
+
+void GroupView::ObserveHeld(const EndpointId& endpoint, Position position) {
+  const auto raise = [&](const EndpointId& id) {
+    const auto it = m_servers.find(id);
+    if (it != m_servers.end() && it->second.state.lineage == position.term) {
+      auto& state = it->second.state;
+      state.held = std::max(state.held, position.index);
+    }
+  };
+  raise(endpoint);
+  if (position.term == m_term) {
+    // Followers have entries of a lineage from its primary alone.
+    raise(m_note.primary);
+  }
+  UpdateCommitted();
+}
+
+bool GroupView::HearOfTerm(Term term) {
+  if (term <= m_heard_term) {
+    return false;
+  }
+  m_heard_term = term;
+  return true;
+}
+
+void GroupView::Keep(const GroupRecord& record) {
+  std::erase_if(m_servers, [&](const auto& item) {
+    const auto& voters = m_note.voters;
+    return record.Find(item.first) == nullptr &&
+           std::find(voters.begin(), voters.end(), item.first) == voters.end();
+  });
+}
+
+std::optional<EndpointId> GroupView::primary() const {
+  if (m_term == Term()) {
+    return std::nullopt;
+  }
+  return m_note.primary;
+}
+
+const GroupView::Server* GroupView::Find(const EndpointId& endpoint) const {
+  const auto it = m_servers.find(endpoint);
+  return it == m_servers.end() ? nullptr : &it->second;
+}
+
+void GroupView::UpdateCommitted() {
+  std::vector<LogIndex> held;
+  for (const auto& voter : m_note.voters) {
+    const auto* server = Find(voter);
+    if (server != nullptr && server->state.lineage == m_term) {
+      held.push_back(server->state.held);
+    }
+  }
+  const auto majority = MajorityValue(std::move(held), m_note.voters.size());
+  // Entries of older terms count only once the first entry of this term is held by a majority.
+  if (majority && *majority >= m_start) {
+    m_committed = std::max(m_committed, *majority);
+  }
+}
+
+bool GroupView::IsTermComplete() const {
+  return m_term != Term() && m_committed >= m_start;
+}
+
+bool GroupView::IsCommitted(Position position) const {
+  return position.term == m_term && position.index <= m_committed;
+}
+
+std::optional<TimePoint> GroupView::ConfirmedAt() const {
+  std::vector<TimePoint> times;
+  for (const auto& voter : m_note.voters) {
+    const auto* server = Find(voter);
+    if (server != nullptr && server->unfenced) {
+      times.push_back(*server->unfenced);
+    }
+  }
+  return MajorityValue(std::move(times), m_note.voters.size());
+}
+
+std::optional<LogIndex> GroupView::IndexForAge(Duration age, TimePoint now) const {
+  const auto confirmed = ConfirmedAt();
+  if (!confirmed) {
+    return std::nullopt;
+  }
+  for (const auto& sample : m_samples) {
+    // A sample taken after the confirmation is still no older than the confirmation.
+    if (std::min(sample.sent, *confirmed) >= now - age) {
+      return sample.index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Duration> GroupView::LagOf(const EndpointId& endpoint, TimePoint now) const {
+  const auto* server = Find(endpoint);
+  if (server == nullptr || server->state.lineage != m_term || m_samples.empty()) {
+    return std::nullopt;
+  }
+  const auto applied = server->state.applied;
+  // The first sample that the server had not reached tells since when it lags.
+  const auto missed = std::find_if(m_samples.begin(), m_samples.end(),
+                                   [&](const Sample& sample) { return sample.index > applied; });
+  if (missed == m_samples.end()) {
+    return Duration::zero();
+  }
+  return std::max(Duration::zero(), now - missed->sent);
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/http/address.h
@@ -0,0 +1,24 @@
+// An IP address and a port.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cardamom {
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+
+  // Parses "host:port" where host is an IPv4 address, or an IPv6 address in brackets. Thread safe.
+  static std::optional<Address> Parse(std::string_view text);
+
+  std::string ToString() const;
+
+  auto operator<=>(const Address&) const = default;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/http/connection_pool.h
@@ -0,0 +1,86 @@
+// A bounded pool of client connections to one address.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "async/notifier.h"
+#include "http/http_connection.h"
+
+namespace cardamom {
+
+// Thread safe. A connection whose last request failed is closed and never used again. The pool's
+// lock is a leaf in the lock order.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
+ public:
+  // Holds one connection; gives it back to the pool, or closes it, when destroyed.
+  class Lease {
+   public:
+    Lease(std::shared_ptr<ConnectionPool> pool, std::unique_ptr<HttpConnection> connection);
+    ~Lease();
+    Lease(Lease&&) noexcept = default;
+    Lease& operator=(Lease&&) noexcept = delete;
+    HttpConnection& connection() { return *m_connection; }
+    // Makes the connection close instead of going back to the pool.
+    void Discard() { m_discard = true; }
+
+   private:
+    std::shared_ptr<ConnectionPool> m_pool;
+    std::unique_ptr<HttpConnection> m_connection;
+    bool m_discard = false;
+  };
+
+  // Prepares a fresh connection, for example by a login request.
+  using ConnectHook = std::function<asio::awaitable<Outcome<void>>(HttpConnection&, TimePoint)>;
+
+  ConnectionPool(asio::io_context& context, Address peer, std::size_t max_connections);
+
+  // Precondition: called before the first Acquire.
+  void set_connect_hook(ConnectHook hook) { m_connect_hook = std::move(hook); }
+
+  // Takes an idle connection, opens one while fewer than the maximum are open, or waits. Errors:
+  // kTransport and kOverloaded, always with Ran::kNo.
+  asio::awaitable<Outcome<Lease>> Acquire(TimePoint deadline);
+
+  // Acquires a connection and sends `request`. Errors: as Acquire and HttpConnection::Send.
+  asio::awaitable<Outcome<HttpResponse>> Send(HttpRequest request, TimePoint deadline);
+
+  // Opens idle connections until `count` are open.
+  asio::awaitable<void> Warm(std::size_t count, TimePoint deadline);
+
+  // Changes the maximum; connections above it close when they are given back.
+  void SetMax(std::size_t max_connections);
+
+  std::size_t open() const;
+  // Connections that a request had to open for itself, since creation.
+  std::uint64_t connects_on_request() const { return m_connects_on_request; }
+  const Address& peer() const { return m_peer; }
+
+ private:
+  struct Reservation {
+    std::unique_ptr<HttpConnection> idle;
+  };
+
+  // Takes an idle connection or the right to open one.
+  std::optional<Reservation> TryReserve();
+  asio::awaitable<Outcome<Lease>> Open(TimePoint deadline);
+  void GiveBack(std::unique_ptr<HttpConnection> connection, bool reusable);
+
+  asio::io_context& m_context;
+  const Address m_peer;
+  ConnectHook m_connect_hook;
+  mutable std::mutex m_mutex;
+  std::size_t m_max;
+  std::size_t m_open = 0;
+  std::vector<std::unique_ptr<HttpConnection>> m_idle;
+  Notifier m_returned;
+  std::atomic<std::uint64_t> m_connects_on_request = 0;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/limits/admission_queue.cc
@@ -0,0 +1,58 @@
+#include "limits/admission_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace cardamom {
+
+AdmissionQueue::Decision AdmissionQueue::Enter(Priority priority,
+                                               TimePoint deadline,
+                                               TimePoint now,
+                                               std::size_t limit,
+                                               Duration expected_wait) {
+  if (deadline <= now) {
+    return {Admission::kRefused, 0};
+  }
+  const Ticket ticket = m_next++;
+  if (m_running < limit && m_waiting.empty()) {
+    ++m_running;
+    return {Admission::kRun, ticket};
+  }
+  if (now + expected_wait >= deadline) {
+    return {Admission::kRefused, 0};
+  }
+  std::optional<Ticket> evicted;
+  if (m_waiting.size() >= m_capacity) {
+    // The newest request of the lowest priority makes room for one of a higher priority.
+    const auto last = m_waiting.empty() ? m_waiting.end() : std::prev(m_waiting.end());
+    if (last == m_waiting.end() || last->first.first <= priority) {
+      return {Admission::kRefused, 0};
+    }
+    evicted = last->first.second;
+    m_waiting.erase(last);
+  }
+  m_waiting.emplace(Order{priority, ticket}, Waiter{deadline});
+  return {Admission::kQueued, ticket, evicted};
+}
+
+std::vector<AdmissionQueue::Ticket> AdmissionQueue::Leave(TimePoint now, std::size_t limit) {
+  assert(m_running > 0);
+  --m_running;
+  std::vector<Ticket> admitted;
+  while (m_running < limit && !m_waiting.empty()) {
+    const auto first = m_waiting.begin();
+    if (first->second.deadline > now) {
+      ++m_running;
+      admitted.push_back(first->first.second);
+    }
+    m_waiting.erase(first);
+  }
+  return admitted;
+}
+
+bool AdmissionQueue::Cancel(Ticket ticket) {
+  return std::erase_if(m_waiting,
+                       [ticket](const auto& item) { return item.first.second == ticket; }) > 0;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/config_follower.cc
@@ -0,0 +1,286 @@
+#include "proxy/config_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kAnswerTimeout{400};
+constexpr Millis kVmListInterval{1000};
+constexpr std::size_t kPeersAsked = 3;
+constexpr std::size_t kMeetingsKept = 9;
+
+}  // namespace
+
+TableReadRequest SnapshotRequest() {
+  TableReadRequest request;
+  request.keys.emplace_back(kRevisionKey);
+  request.prefixes.emplace_back(kRecordPrefix);
+  return request;
+}
+
+Outcome<ConfigSnapshot> SnapshotOf(const TableReadAnswer& answer) {
+  ConfigSnapshot snapshot;
+  for (const auto& row : answer.rows) {
+    if (row.key == kRevisionKey) {
+      if (row.version != 0) {
+        const auto revision = Decode<RevisionRow>(row.value);
+        if (!revision) {
+          return revision.error();
+        }
+        snapshot.revision = revision->revision;
+      }
+      continue;
+    }
+    auto record = Decode<StoredRecord>(row.value);
+    if (!record) {
+      return record.error();
+    }
+    snapshot.records.push_back(std::move(*record));
+  }
+  return snapshot;
+}
+
+ConfigFollower::ConfigFollower(ProxyContext& context,
+                               PlatformClient& platform,
+                               PeerClient& peers,
+                               Membership& membership,
+                               ChangeHook on_change)
+    : m_context(context),
+      m_platform(platform),
+      m_peers(peers),
+      m_membership(membership),
+      m_on_change(std::move(on_change)) {}
+
+void ConfigFollower::Start() {
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Run(); });
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await FollowVms(); });
+}
+
+std::map<GroupId, GroupRecord> ConfigFollower::records() const {
+  const std::lock_guard lock(m_mutex);
+  return m_state.records();
+}
+
+ConfigSnapshot ConfigFollower::snapshot() const {
+  const std::lock_guard lock(m_mutex);
+  return m_state.snapshot();
+}
+
+RevisionAnswer ConfigFollower::Revision() const {
+  const std::lock_guard lock(m_mutex);
+  return {m_state.revision(), ToMillis(Clock::now() - m_confirmed_at).count()};
+}
+
+bool ConfigFollower::IsReady() const {
+  const std::lock_guard lock(m_mutex);
+  const auto limit = Millis(m_context.settings.config_stale_ms);
+  if (m_state.IsFresh(Clock::now(), limit)) {
+    return true;
+  }
+  // While the store is down nothing new can be accepted; what counts is to be in touch with peers,
+  // who would know of a later revision.
+  const auto met = static_cast<std::size_t>(std::count(m_meetings.begin(), m_meetings.end(), true));
+  return m_state.revision() != cardamom::Revision() && m_state.heard() <= m_state.revision() &&
+         !m_meetings.empty() && 2 * met > m_meetings.size();
+}
+
+bool ConfigFollower::IsBehind() const {
+  const std::lock_guard lock(m_mutex);
+  return m_state.heard() > m_state.revision();
+}
+
+void ConfigFollower::Hear(cardamom::Revision revision) {
+  bool behind = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_state.Confirm(revision, TimePoint());
+    behind = m_state.heard() > m_state.revision();
+  }
+  if (behind) {
+    m_wake.NotifyAll();
+  }
+}
+
+void ConfigFollower::Confirm(cardamom::Revision revision, TimePoint at) {
+  const std::lock_guard lock(m_mutex);
+  m_state.Confirm(revision, at);
+  m_confirmed_at = std::max(m_confirmed_at, at);
+}
+
+void ConfigFollower::Adopt(const ConfigSnapshot& snapshot) {
+  ConfigState::Change change;
+  {
+    const std::lock_guard lock(m_mutex);
+    change = m_state.Adopt(snapshot);
+  }
+  if (!change.adopted) {
+    return;
+  }
+  m_context.events.Emit(EventCode::kConfigAdopted,
+                        {.detail = "revision " + std::to_string(snapshot.revision.value())});
+  for (const auto& group : change.not_understood) {
+    m_context.events.Emit(EventCode::kRecordNotUnderstood, {.group = group});
+  }
+  m_context.metrics.SetGauge("config_revision", static_cast<double>(snapshot.revision.value()));
+  m_context.metrics.SetGauge("records_not_understood",
+                             static_cast<double>(change.not_understood.size()));
+  m_on_change();
+}
+
+void ConfigFollower::NotePlatform(bool answered) {
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_platform_answers == answered) {
+      return;
+    }
+    m_platform_answers = answered;
+  }
+  m_context.events.Emit(answered ? EventCode::kPlatformReachable : EventCode::kPlatformUnreachable);
+}
+
+void ConfigFollower::NoteMeeting(bool answered) {
+  const std::lock_guard lock(m_mutex);
+  m_meetings.push_back(answered);
+  if (m_meetings.size() > kMeetingsKept) {
+    m_meetings.pop_front();
+  }
+}
+
+asio::awaitable<void> ConfigFollower::Run() {
+  while (!m_stopped) {
+    const auto relays = static_cast<std::size_t>(m_context.settings.relays_per_domain);
+    const bool is_relay = m_membership.IsRelay(relays);
+    bool answered = false;
+    if (!is_relay) {
+      answered = co_await AskRelays();
+    }
+    if (!answered) {
+      answered = co_await AskPlatform();
+    }
+    if (!answered) {
+      co_await AskPeers();
+    }
+    if (IsBehind()) {
+      // The source that named the greater revision may be gone already.
+      co_await FetchFromPlatform();
+    }
+    co_await m_wake.WaitUntil([this] { return m_stopped || IsBehind(); },
+                              Clock::now() + Millis(m_context.settings.config_poll_ms));
+    if (IsBehind()) {
+      co_await Sleep(Millis(5));
+    }
+  }
+}
+
+asio::awaitable<bool> ConfigFollower::AskPlatform() {
+  const auto asked = Clock::now();
+  TableReadRequest request;
+  request.keys.emplace_back(kRevisionKey);
+  const auto answer = co_await m_platform.Read(std::move(request), asked + kAnswerTimeout);
+  NotePlatform(answer.has_value());
+  if (!answer) {
+    co_return false;
+  }
+  const auto snapshot = SnapshotOf(*answer);
+  if (!snapshot) {
+    co_return false;
+  }
+  Confirm(snapshot->revision, asked);
+  bool adopted_any = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    adopted_any = m_state.revision() == snapshot->revision && m_state.IsFresh(asked, Millis(0));
+  }
+  if (!adopted_any) {
+    co_return co_await FetchFromPlatform();
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> ConfigFollower::FetchFromPlatform() {
+  const auto asked = Clock::now();
+  const auto answer = co_await m_platform.Read(SnapshotRequest(), asked + kAnswerTimeout);
+  if (!answer) {
+    co_return false;
+  }
+  const auto snapshot = SnapshotOf(*answer);
+  if (!snapshot) {
+    co_return false;
+  }
+  Confirm(snapshot->revision, asked);
+  Adopt(*snapshot);
+  co_return true;
+}
+
+asio::awaitable<bool> ConfigFollower::AskPeer(const VmEntry& peer) {
+  const auto asked = Clock::now();
+  const auto answer =
+      co_await m_peers.Get<RevisionAnswer>(peer, "/peer/v1/revision", asked + kAnswerTimeout);
+  NoteMeeting(answer.has_value());
+  if (!answer) {
+    co_return false;
+  }
+  Confirm(answer->revision, asked - Millis(answer->confirmed_age_ms));
+  bool behind = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    behind = answer->revision > m_state.revision();
+  }
+  if (behind) {
+    co_return co_await FetchFromPeer(peer);
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> ConfigFollower::FetchFromPeer(const VmEntry& peer) {
+  const auto snapshot =
+      co_await m_peers.Get<ConfigSnapshot>(peer, "/peer/v1/config", Clock::now() + kAnswerTimeout);
+  if (!snapshot) {
+    co_return false;
+  }
+  Adopt(*snapshot);
+  co_return true;
+}
+
+asio::awaitable<bool> ConfigFollower::AskRelays() {
+  const auto relays = static_cast<std::size_t>(m_context.settings.relays_per_domain);
+  for (const auto& relay : m_membership.RelayPeers(relays)) {
+    const bool answered = co_await AskPeer(relay);
+    bool fresh = false;
+    {
+      const std::lock_guard lock(m_mutex);
+      fresh = m_state.IsFresh(Clock::now(), 4 * Millis(m_context.settings.config_poll_ms));
+    }
+    if (answered && fresh) {
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
+asio::awaitable<void> ConfigFollower::AskPeers() {
+  auto peers = m_membership.vms();
+  std::erase_if(peers, [this](const VmEntry& vm) { return vm.id == m_membership.self().id; });
+  std::shuffle(peers.begin(), peers.end(), m_random);
+  peers.resize(std::min(peers.size(), kPeersAsked));
+  for (const auto& peer : peers) {
+    co_await AskPeer(peer);
+  }
+}
+
+asio::awaitable<void> ConfigFollower::FollowVms() {
+  while (!m_stopped) {
+    const auto list = co_await m_platform.Vms(Clock::now() + kAnswerTimeout);
+    if (list && m_membership.Update(*list)) {
+      m_peers.Keep(list->vms);
+      m_on_change();
+    }
+    co_await Sleep(kVmListInterval);
+  }
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/endpoint_gate.cc
@@ -0,0 +1,122 @@
+#include "proxy/endpoint_gate.h"
+
+#include <utility>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cardamom {
+namespace {
+
+// Weight of a new latency in the moving average: 1 / 16.
+constexpr int kAverageDivisor = 16;
+
+}  // namespace
+
+EndpointGate::Pass::Pass(std::shared_ptr<EndpointGate> gate, std::size_t in_progress)
+    : m_gate(std::move(gate)), m_in_progress(in_progress) {}
+
+EndpointGate::Pass::~Pass() {
+  if (m_gate != nullptr) {
+    m_gate->Leave();
+  }
+}
+
+void EndpointGate::Pass::Succeeded() {
+  const auto latency = Clock::now() - m_start;
+  const std::lock_guard lock(m_gate->m_mutex);
+  m_gate->m_limit.OnAnswer(latency, m_in_progress);
+  m_gate->m_typical_latency += (latency - m_gate->m_typical_latency) / kAverageDivisor;
+}
+
+void EndpointGate::Pass::Overloaded() {
+  const std::lock_guard lock(m_gate->m_mutex);
+  m_gate->m_limit.OnOverload();
+}
+
+EndpointGate::EndpointGate(const ConcurrencyLimit::Options& limit, std::size_t queue_capacity)
+    : m_limit(limit), m_queue(queue_capacity) {}
+
+Duration EndpointGate::ExpectedWait() const {
+  return m_typical_latency * (m_queue.waiting() + 1) / std::max<std::size_t>(1, m_limit.limit());
+}
+
+EndpointGate::Timer EndpointGate::Decide(AdmissionQueue::Ticket ticket, State state) {
+  const auto it = m_waiters.find(ticket);
+  if (it == m_waiters.end()) {
+    return nullptr;
+  }
+  it->second.state = state;
+  return it->second.timer;
+}
+
+void EndpointGate::Wake(const Timer& timer) {
+  if (timer != nullptr) {
+    asio::post(timer->get_executor(), [timer] { timer->cancel(); });
+  }
+}
+
+asio::awaitable<Outcome<EndpointGate::Pass>> EndpointGate::Enter(Priority priority,
+                                                                 TimePoint deadline) {
+  auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor, deadline);
+  AdmissionQueue::Decision decision;
+  Timer evicted;
+  std::size_t in_progress = 0;
+  {
+    const std::lock_guard lock(m_mutex);
+    decision = m_queue.Enter(priority, deadline, Clock::now(), m_limit.limit(), ExpectedWait());
+    if (decision.admission == Admission::kQueued) {
+      m_waiters.emplace(decision.ticket, Waiter{timer});
+    }
+    if (decision.evicted) {
+      evicted = Decide(*decision.evicted, State::kEvicted);
+    }
+    in_progress = m_queue.running();
+  }
+  Wake(evicted);
+  if (decision.admission == Admission::kRefused) {
+    co_return Error{ResultCode::kOverloaded, "the queue of the endpoint is full"};
+  }
+  if (decision.admission == Admission::kRun) {
+    co_return Pass(shared_from_this(), in_progress);
+  }
+  co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+  const std::lock_guard lock(m_mutex);
+  const auto state = m_waiters.at(decision.ticket).state;
+  m_waiters.erase(decision.ticket);
+  if (state == State::kAdmitted) {
+    co_return Pass(shared_from_this(), m_queue.running());
+  }
+  m_queue.Cancel(decision.ticket);
+  co_return Error{ResultCode::kOverloaded, state == State::kEvicted
+                                               ? "work of a higher priority took the place"
+                                               : "no place before the deadline"};
+}
+
+void EndpointGate::Leave() {
+  std::vector<Timer> timers;
+  {
+    const std::lock_guard lock(m_mutex);
+    for (const auto ticket : m_queue.Leave(Clock::now(), m_limit.limit())) {
+      timers.push_back(Decide(ticket, State::kAdmitted));
+    }
+  }
+  for (const auto& timer : timers) {
+    Wake(timer);
+  }
+}
+
+std::size_t EndpointGate::outstanding() const {
+  const std::lock_guard lock(m_mutex);
+  return m_queue.running() + m_queue.waiting();
+}
+
+std::size_t EndpointGate::limit() const {
+  const std::lock_guard lock(m_mutex);
+  return m_limit.limit();
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/endpoint_gate.h
@@ -0,0 +1,68 @@
+// Admission to one endpoint.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include "async/notifier.h"
+#include "cardamom/error.h"
+#include "limits/admission_queue.h"
+#include "limits/concurrency_limit.h"
+
+namespace cardamom {
+
+// Thread safe. Its lock is a leaf in the lock order.
+class EndpointGate : public std::enable_shared_from_this<EndpointGate> {
+ public:
+  // The right to have one request in progress; ends when destroyed.
+  class Pass {
+   public:
+    Pass(std::shared_ptr<EndpointGate> gate, std::size_t in_progress);
+    ~Pass();
+    Pass(Pass&&) noexcept = default;
+    Pass& operator=(Pass&&) = delete;
+
+    // Feeds the adaptive limit.
+    void Succeeded();
+    void Overloaded();
+
+   private:
+    std::shared_ptr<EndpointGate> m_gate;
+    TimePoint m_start = Clock::now();
+    std::size_t m_in_progress;
+  };
+
+  EndpointGate(const ConcurrencyLimit::Options& limit, std::size_t queue_capacity);
+
+  // Waits for admission. Errors: kOverloaded and kDeadlineExpired with Ran::kNo. Precondition: the
+  // calling coroutine runs on a strand.
+  asio::awaitable<Outcome<Pass>> Enter(Priority priority, TimePoint deadline);
+
+  // Requests in progress and waiting.
+  std::size_t outstanding() const;
+  std::size_t limit() const;
+
+ private:
+  using Timer = std::shared_ptr<asio::steady_timer>;
+  enum class State { kWaiting, kAdmitted, kEvicted };
+  struct Waiter {
+    Timer timer;
+    State state = State::kWaiting;
+  };
+
+  void Leave();
+  // Requires m_mutex. Returns the timer to cancel after the lock is released.
+  Timer Decide(AdmissionQueue::Ticket ticket, State state);
+  static void Wake(const Timer& timer);
+  // Requires m_mutex.
+  Duration ExpectedWait() const;
+
+  mutable std::mutex m_mutex;
+  ConcurrencyLimit m_limit;
+  AdmissionQueue m_queue;
+  std::unordered_map<AdmissionQueue::Ticket, Waiter> m_waiters;
+  Duration m_typical_latency{};
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/group.cc
@@ -0,0 +1,392 @@
+#include "proxy/group.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kLongPoll{2000};
+constexpr Millis kLongPollMargin{500};
+constexpr Millis kQuestionTimeout{300};
+// Pause between two answers to a watch loop while nobody waits for news.
+constexpr Millis kActivePause{50};
+constexpr Millis kIdlePause{5000};
+constexpr Millis kFailurePause{50};
+constexpr Millis kActiveFor{5000};
+constexpr double kRetryRatio = 0.2;
+constexpr double kRetryReserve = 50;
+
+}  // namespace
+
+Group::Group(ProxyContext& context, GroupRecord record, std::size_t connection_share)
+    : m_context(context),
+      m_id(record.group),
+      m_record(std::move(record)),
+      m_connection_share(connection_share),
+      m_retry_budget(kRetryRatio, kRetryReserve) {}
+
+void Group::Start() {
+  std::vector<std::shared_ptr<EndpointRuntime>> fresh;
+  {
+    const std::lock_guard lock(m_mutex);
+    fresh = ApplyRecord();
+  }
+  for (const auto& endpoint : fresh) {
+    Watch(endpoint);
+  }
+}
+
+void Group::Stop() {
+  {
+    const std::lock_guard lock(m_mutex);
+    m_stopped = true;
+    for (auto& [id, endpoint] : m_endpoints) {
+      endpoint->dropped = true;
+    }
+  }
+  ++m_pokes;
+  m_poke.NotifyAll();
+  m_changed.NotifyAll();
+}
+
+void Group::Update(GroupRecord record, std::size_t connection_share) {
+  std::vector<std::shared_ptr<EndpointRuntime>> fresh;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_record = std::move(record);
+    m_connection_share = connection_share;
+    fresh = ApplyRecord();
+  }
+  for (const auto& endpoint : fresh) {
+    Watch(endpoint);
+  }
+  m_changed.NotifyAll();
+}
+
+std::vector<std::shared_ptr<EndpointRuntime>> Group::ApplyRecord() {
+  std::vector<std::shared_ptr<EndpointRuntime>> fresh;
+  for (const auto& spec : m_record.endpoints) {
+    auto& runtime = m_endpoints[spec.id];
+    if (runtime != nullptr && runtime->spec.address == spec.address) {
+      runtime->spec = spec;
+      runtime->client->work_pool().SetMax(spec.leaving ? 0 : m_connection_share);
+      continue;
+    }
+    if (runtime != nullptr) {
+      runtime->dropped = true;
+    }
+    runtime = MakeRuntime(spec);
+    fresh.push_back(runtime);
+  }
+  std::erase_if(m_endpoints, [this](const auto& item) {
+    if (m_record.Find(item.first) != nullptr) {
+      return false;
+    }
+    item.second->dropped = true;
+    m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = item.first});
+    return true;
+  });
+  m_view.Keep(m_record);
+  return fresh;
+}
+
+std::shared_ptr<EndpointRuntime> Group::MakeRuntime(const EndpointSpec& spec) const {
+  auto runtime = std::make_shared<EndpointRuntime>();
+  runtime->spec = spec;
+  runtime->client = std::make_shared<EndpointClient>(m_context.io, *Address::Parse(spec.address),
+                                                     m_context.settings.vm_id, m_connection_share);
+  ConcurrencyLimit::Options limit;
+  limit.initial = std::min<std::size_t>(m_record.slots, m_connection_share);
+  limit.most = m_connection_share;
+  limit.least = std::min<std::size_t>(2, m_connection_share);
+  runtime->gate = std::make_shared<EndpointGate>(
+      limit, static_cast<std::size_t>(m_context.settings.queue_capacity));
+  return runtime;
+}
+
+GroupRecord Group::record() const {
+  const std::lock_guard lock(m_mutex);
+  return m_record;
+}
+
+std::vector<std::shared_ptr<EndpointRuntime>> Group::Serving() const {
+  const std::lock_guard lock(m_mutex);
+  std::vector<std::shared_ptr<EndpointRuntime>> serving;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (!endpoint->spec.leaving) {
+      serving.push_back(endpoint);
+    }
+  }
+  return serving;
+}
+
+std::vector<std::shared_ptr<EndpointRuntime>> Group::All() const {
+  const std::lock_guard lock(m_mutex);
+  std::vector<std::shared_ptr<EndpointRuntime>> all;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    all.push_back(endpoint);
+  }
+  return all;
+}
+
+std::shared_ptr<EndpointRuntime> Group::Find(const EndpointId& endpoint) const {
+  const std::lock_guard lock(m_mutex);
+  const auto it = m_endpoints.find(endpoint);
+  return it == m_endpoints.end() ? nullptr : it->second;
+}
+
+asio::awaitable<bool> Group::WaitFor(std::function<bool(const GroupView&)> predicate,
+                                     TimePoint deadline) {
+  co_return co_await m_changed.WaitUntil(
+      [this, predicate = std::move(predicate)] { return WithView(predicate); }, deadline);
+}
+
+asio::awaitable<Outcome<Group::Primary>> Group::WaitForPrimary(Term least, TimePoint deadline) {
+  const auto known = [least](const GroupView& view) {
+    return view.primary().has_value() && view.term() >= least;
+  };
+  if (!WithView(known)) {
+    co_await Refresh();
+  }
+  while (co_await WaitFor(known, deadline)) {
+    Primary primary;
+    std::optional<EndpointId> id;
+    {
+      const std::lock_guard lock(m_mutex);
+      primary.term = m_view.term();
+      id = m_view.primary();
+    }
+    primary.endpoint = Find(*id);
+    if (primary.endpoint != nullptr && !primary.endpoint->spec.leaving) {
+      co_return primary;
+    }
+    // The primary leaves: its successor opens a greater term.
+    const auto current = primary.term;
+    if (!co_await WaitFor([current](const GroupView& view) { return view.term() > current; },
+                          deadline)) {
+      break;
+    }
+  }
+  co_return Error{ResultCode::kNoPrimary, "no primary of " + m_id.value() + " is known"};
+}
+
+asio::awaitable<Group::CommitState> Group::WaitForCommit(Position position, TimePoint deadline) {
+  const auto decided = [position](const GroupView& view) {
+    return view.IsCommitted(position) || view.term() > position.term;
+  };
+  if (!WithView(decided)) {
+    std::multiset<TimePoint>::iterator place;
+    {
+      const std::lock_guard lock(m_mutex);
+      place = m_commit_waits.insert(Clock::now());
+    }
+    ++m_pokes;
+    m_poke.NotifyAll();
+    co_await WaitFor(decided, deadline);
+    const std::lock_guard lock(m_mutex);
+    m_commit_waits.erase(place);
+  }
+  co_return WithView([position](const GroupView& view) {
+    if (view.IsCommitted(position)) {
+      return CommitState::kCommitted;
+    }
+    return view.term() > position.term ? CommitState::kTermChanged : CommitState::kDeadline;
+  });
+}
+
+Duration Group::OldestCommitWait() const {
+  const std::lock_guard lock(m_mutex);
+  return m_commit_waits.empty() ? Duration::zero() : Clock::now() - *m_commit_waits.begin();
+}
+
+void Group::ObserveState(const ServerState& state, TimePoint sent) {
+  bool learned = false;
+  EventSubject subject;
+  {
+    const std::lock_guard lock(m_mutex);
+    learned = m_view.Observe(state, sent, Clock::now());
+    subject = {
+        .group = m_id, .endpoint = m_view.primary().value_or(EndpointId()), .term = m_view.term()};
+  }
+  if (learned) {
+    m_context.events.Emit(EventCode::kTermLearned, subject);
+  }
+  m_changed.NotifyAll();
+}
+
+void Group::ObserveHeld(const EndpointId& endpoint, Position position) {
+  bool moved = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto before = m_view.committed();
+    m_view.ObserveHeld(endpoint, position);
+    moved = m_view.committed() != before;
+  }
+  if (moved) {
+    m_changed.NotifyAll();
+  }
+}
+
+void Group::ObserveFailure(EndpointRuntime& endpoint, const Error& error) {
+  endpoint.refused = error.code == ResultCode::kConnectionRefused;
+  bool was_reachable = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto* server = m_view.Find(endpoint.spec.id);
+    was_reachable = server == nullptr || server->reachable;
+    m_view.ObserveFailure(endpoint.spec.id, Clock::now());
+  }
+  if (was_reachable) {
+    m_context.events.Emit(EventCode::kEndpointUnreachable,
+                          {.group = m_id, .endpoint = endpoint.spec.id, .detail = error.detail});
+  }
+  m_changed.NotifyAll();
+}
+
+void Group::HearOfTerm(Term term) {
+  bool news = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    news = m_view.HearOfTerm(term);
+  }
+  if (news) {
+    m_changed.NotifyAll();
+  }
+}
+
+void Group::set_watched(bool watched) {
+  if (m_watched.exchange(watched) != watched) {
+    ++m_pokes;
+    m_poke.NotifyAll();
+  }
+}
+
+bool Group::TryRetry() {
+  const std::lock_guard lock(m_mutex);
+  return m_retry_budget.TryRetry();
+}
+
+void Group::OnFirstAttempt() {
+  const std::lock_guard lock(m_mutex);
+  m_retry_budget.OnFirstAttempt();
+}
+
+bool Group::IsActive() const {
+  const auto last = TimePoint(Duration(m_last_use.load()));
+  return m_watched || Clock::now() - last < kActiveFor;
+}
+
+asio::awaitable<bool> Group::Ask(std::shared_ptr<EndpointRuntime> endpoint, Millis wait) {
+  StateRequest request;
+  request.wait_ms = static_cast<std::uint32_t>(wait.count());
+  if (wait > Millis(0)) {
+    request.contact_limit_ms = static_cast<std::uint32_t>(m_context.settings.suspect_refused_ms);
+    const std::lock_guard lock(m_mutex);
+    if (const auto* server = m_view.Find(endpoint->spec.id)) {
+      request.seen_held = server->state.held;
+      request.seen_applied = server->state.applied;
+      request.seen_fenced = server->state.fenced;
+      const auto contact = Millis(server->state.primary_contact_age_ms);
+      if (contact >= Millis(request.contact_limit_ms)) {
+        // The loss of contact has been told; only the next limit is news.
+        request.contact_limit_ms =
+            contact < Millis(m_context.settings.suspect_silence_ms)
+                ? static_cast<std::uint32_t>(m_context.settings.suspect_silence_ms)
+                : 0;
+      }
+    }
+  }
+  const auto sent = Clock::now();
+  const auto margin = wait > Millis(0) ? kLongPollMargin : kQuestionTimeout;
+  const auto state = co_await endpoint->client->State(request, sent + wait + margin);
+  if (endpoint->dropped) {
+    co_return false;
+  }
+  if (!state) {
+    ObserveFailure(*endpoint, state.error());
+    co_return false;
+  }
+  if (wait == Millis(0)) {
+    endpoint->round_trip = (Clock::now() - sent).count();
+  }
+  endpoint->refused = false;
+  ObserveState(*state, sent);
+  co_return true;
+}
+
+void Group::Watch(const std::shared_ptr<EndpointRuntime>& endpoint) {
+  Spawn(m_context.io, [self = shared_from_this(), endpoint]() -> asio::awaitable<void> {
+    co_await self->WatchLoop(endpoint);
+  });
+}
+
+asio::awaitable<void> Group::WatchLoop(std::shared_ptr<EndpointRuntime> endpoint) {
+  // The first question is answered at once.
+  Millis wait{0};
+  while (!endpoint->dropped) {
+    const auto seen_pokes = m_pokes.load();
+    const bool answered = co_await Ask(endpoint, wait);
+    wait = answered && IsActive() ? kLongPoll : Millis(0);
+    bool commit_waits = false;
+    {
+      const std::lock_guard lock(m_mutex);
+      commit_waits = !m_commit_waits.empty();
+    }
+    if (answered && commit_waits) {
+      continue;
+    }
+    Millis pause = IsActive() ? kActivePause : kIdlePause;
+    if (!answered) {
+      pause = kFailurePause;
+    }
+    co_await m_poke.WaitUntil(
+        [this, seen_pokes, endpoint, answered] {
+          return (answered && m_pokes != seen_pokes) || endpoint->dropped;
+        },
+        Clock::now() + pause);
+  }
+}
+
+asio::awaitable<void> Group::Refresh() {
+  std::uint64_t round = 0;
+  bool leads = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    leads = !m_refreshing;
+    m_refreshing = true;
+    round = m_refresh_round;
+  }
+  if (!leads) {
+    // The round in progress may have asked before this call, so only the next one would be certain;
+    // callers wait for what they need in a loop and call again.
+    co_await m_changed.WaitUntil(
+        [this, round] {
+          const std::lock_guard lock(m_mutex);
+          return m_refresh_round != round;
+        },
+        Clock::now() + kQuestionTimeout);
+    co_return;
+  }
+  auto left = std::make_shared<std::atomic<std::size_t>>(0);
+  const auto endpoints = All();
+  *left = endpoints.size();
+  for (const auto& endpoint : endpoints) {
+    Spawn(m_context.io, [self = shared_from_this(), endpoint, left]() -> asio::awaitable<void> {
+      co_await self->Ask(endpoint, Millis(0));
+      --*left;
+      self->m_changed.NotifyAll();
+    });
+  }
+  co_await m_changed.WaitUntil([left] { return *left == 0; }, Clock::now() + kQuestionTimeout);
+  {
+    const std::lock_guard lock(m_mutex);
+    m_refreshing = false;
+    ++m_refresh_round;
+  }
+  m_changed.NotifyAll();
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/peer_api.cc
@@ -0,0 +1,65 @@
+#include "proxy/peer_api.h"
+
+#include <utility>
+
+#include <openssl/crypto.h>
+
+#include "proxy/answers.h"
+
+namespace cardamom {
+namespace {
+
+constexpr std::string_view kPrefix = "/peer";
+constexpr std::string_view kReachPrefix = "/peer/v1/reach/";
+
+bool HasKey(const HttpRequest& request, const std::string& key) {
+  const auto given = request.Header(kPeerKeyHeader);
+  return given && given->size() == key.size() &&
+         CRYPTO_memcmp(given->data(), key.data(), key.size()) == 0;
+}
+
+}  // namespace
+
+asio::awaitable<HttpResponse> PeerApi::Handle(HttpRequest request) {
+  if (!HasKey(request, m_context.settings.peer_key)) {
+    co_return ProblemResponse({ResultCode::kForbiddenPeer, "the peer key does not match"});
+  }
+  if (request.target == "/peer/v1/revision") {
+    co_return JsonResponse(m_config.Revision());
+  }
+  if (request.target == "/peer/v1/config") {
+    co_return JsonResponse(m_config.snapshot());
+  }
+  if (request.target.starts_with(kReachPrefix)) {
+    co_return JsonResponse(Reach(GroupId(request.target.substr(kReachPrefix.size()))));
+  }
+  if (request.target.starts_with(kPrefix)) {
+    request.target = request.target.substr(kPrefix.size());
+    co_return co_await m_callers.Handle(std::move(request), true);
+  }
+  co_return ProblemResponse({ResultCode::kNoRoute, request.target});
+}
+
+ReachAnswer PeerApi::Reach(const GroupId& id) const {
+  ReachAnswer answer;
+  const auto group = m_groups.Find(id);
+  if (group == nullptr) {
+    return answer;
+  }
+  // The question makes this proxy watch the group, so that the next answer is current.
+  group->Touch();
+  group->WithView([&](const GroupView& view) {
+    answer.term = view.term();
+    const auto primary = view.primary();
+    const auto* server = primary ? view.Find(*primary) : nullptr;
+    answer.known = server != nullptr;
+    if (server != nullptr && server->failing_since) {
+      answer.failing_ms =
+          std::max<std::int64_t>(1, ToMillis(Clock::now() - *server->failing_since).count());
+    }
+    return 0;
+  });
+  return answer;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/record_service.cc
@@ -0,0 +1,189 @@
+#include "proxy/record_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "failover/term_row.h"
+#include "proxy/term_store.h"
+
+namespace cardamom {
+namespace {
+
+constexpr std::size_t kRecentChanges = 256;
+constexpr Millis kAnswerTimeout{500};
+constexpr Millis kConflictPause{5};
+
+std::string RecordKey(const GroupId& group) {
+  return kRecordPrefix + group.value();
+}
+
+std::optional<Error> CheckText(const RecordChange& change) {
+  if (change.action == RecordAction::kWithdraw) {
+    return std::nullopt;
+  }
+  const auto check = ParseRecord(change.record);
+  if (check.record && check.record->group == change.group) {
+    return std::nullopt;
+  }
+  if (check.record) {
+    return Error{ResultCode::kRecordInvalid, "/group: differs from the group of the request"};
+  }
+  std::string detail;
+  for (const auto& problem : check.problems) {
+    detail += fmt::format("{}{}: {}", detail.empty() ? "" : "; ", problem.path, problem.message);
+  }
+  return Error{check.schema_unknown ? ResultCode::kSchemaUnknown : ResultCode::kRecordInvalid,
+               detail};
+}
+
+}  // namespace
+
+asio::awaitable<Outcome<RecordService::Current>> RecordService::Load(const GroupId& group,
+                                                                     TimePoint deadline) {
+  TableReadRequest request;
+  request.keys.emplace_back(kRevisionKey);
+  request.keys.push_back(RecordKey(group));
+  request.keys.push_back(TermRowKey(group));
+  const auto answer = co_await m_platform.Read(std::move(request), deadline);
+  if (!answer) {
+    co_return answer.error();
+  }
+  Current current;
+  for (const auto& row : answer->rows) {
+    if (row.version == 0) {
+      continue;
+    }
+    if (row.key == kRevisionKey) {
+      auto revision = Decode<RevisionRow>(row.value);
+      if (!revision) {
+        co_return Error{ResultCode::kPlatformUnavailable, revision.error().detail};
+      }
+      current.revision = std::move(*revision);
+      current.revision_version = row.version;
+    } else if (row.key == RecordKey(group)) {
+      auto record = Decode<StoredRecord>(row.value);
+      if (!record) {
+        co_return Error{ResultCode::kPlatformUnavailable, record.error().detail};
+      }
+      current.record = std::move(*record);
+      current.record_version = row.version;
+    } else {
+      auto terms = Decode<TermRow>(row.value);
+      if (!terms) {
+        co_return Error{ResultCode::kPlatformUnavailable, terms.error().detail};
+      }
+      current.term_version = row.version;
+      for (const auto& allocation : terms->allocations) {
+        current.voters.insert(current.voters.end(), allocation.voters.begin(),
+                              allocation.voters.end());
+      }
+    }
+  }
+  co_return current;
+}
+
+std::optional<Error> RecordService::Check(const RecordChange& change, const Current& current) {
+  if (change.action == RecordAction::kSubmit) {
+    if (current.record) {
+      return Error{ResultCode::kRecordExists, "the group has a record; use replace"};
+    }
+    return std::nullopt;
+  }
+  if (!current.record) {
+    return Error{ResultCode::kRecordNotFound, "the group has no record"};
+  }
+  if (current.record->revision != change.expected) {
+    return Error{ResultCode::kRevisionConflict, fmt::format("the record changed at revision {}",
+                                                            current.record->revision.value())};
+  }
+  if (change.action == RecordAction::kWithdraw) {
+    return std::nullopt;
+  }
+  const auto next = ParseRecord(change.record);
+  const auto last = ParseRecord(current.record->record);
+  if (!last.record) {
+    return std::nullopt;
+  }
+  for (const auto& endpoint : last.record->endpoints) {
+    const bool votes = std::find(current.voters.begin(), current.voters.end(), endpoint.id) !=
+                       current.voters.end();
+    const auto* kept = next.record->Find(endpoint.id);
+    if (kept == nullptr && votes) {
+      // Dropping a voter would take away a majority that a promotion may need.
+      return Error{ResultCode::kRecordInvalid,
+                   fmt::format("/endpoints: {} still votes; mark it leaving first and wait until "
+                               "the group has moved on",
+                               endpoint.id.value())};
+    }
+    if (kept != nullptr && votes && kept->address != endpoint.address) {
+      return Error{ResultCode::kRecordInvalid,
+                   fmt::format("/endpoints: the address of {} cannot change while it votes",
+                               endpoint.id.value())};
+    }
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<Outcome<Revision>> RecordService::Apply(RecordChange change, TimePoint deadline) {
+  if (auto invalid = CheckText(change)) {
+    co_return *invalid;
+  }
+  bool may_have_run = false;
+  for (;;) {
+    const auto current =
+        co_await Load(change.group, std::min(deadline, Clock::now() + kAnswerTimeout));
+    if (!current && Clock::now() < deadline) {
+      co_await Sleep(kConflictPause);
+      continue;
+    }
+    if (!current) {
+      co_return Error{current.error().code, current.error().detail,
+                      may_have_run ? Ran::kUnknown : Ran::kNo};
+    }
+    const auto& changes = current->revision.recent_changes;
+    if (std::find(changes.begin(), changes.end(), change.change_id) != changes.end()) {
+      co_return current->revision.revision;
+    }
+    if (auto refused = Check(change, *current)) {
+      co_return *refused;
+    }
+    const Revision next(current->revision.revision.value() + 1);
+    RevisionRow row{next, changes};
+    row.recent_changes.push_back(change.change_id);
+    if (row.recent_changes.size() > kRecentChanges) {
+      row.recent_changes.erase(row.recent_changes.begin());
+    }
+    TransactRequest request;
+    request.expect.push_back({kRevisionKey, current->revision_version});
+    request.expect.push_back({RecordKey(change.group), current->record_version});
+    // A term allocated meanwhile may have voters that the change drops.
+    request.expect.push_back({TermRowKey(change.group), current->term_version});
+    request.puts.push_back({kRevisionKey, Encode(row)});
+    if (change.action == RecordAction::kWithdraw) {
+      request.deletes.push_back(RecordKey(change.group));
+    } else {
+      request.puts.push_back(
+          {RecordKey(change.group),
+           Encode(StoredRecord{change.group, next, change.change_id, change.record})});
+    }
+    const auto answer = co_await m_platform.Transact(
+        std::move(request), std::min(deadline, Clock::now() + kAnswerTimeout));
+    if (answer && answer->applied) {
+      m_context.events.Emit(
+          EventCode::kRecordSubmitted,
+          {.group = change.group, .detail = "revision " + std::to_string(next.value())});
+      m_config.Hear(next);
+      co_return next;
+    }
+    may_have_run = may_have_run || !answer;
+    if (Clock::now() >= deadline) {
+      co_return Error{ResultCode::kPlatformUnavailable, "no answer before the deadline",
+                      may_have_run ? Ran::kUnknown : Ran::kNo};
+    }
+    co_await Sleep(kConflictPause);
+  }
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/steward.cc
@@ -0,0 +1,548 @@
+#include "proxy/steward.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "async/spawn.h"
+#include "core/random_id.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kStepPause{100};
+// Stewards of higher rank do not watch at all.
+constexpr std::size_t kWatchingRanks = 3;
+// Stewards up to this rank hold a reserved term.
+constexpr std::size_t kReservingRanks = 2;
+constexpr Millis kTableTimeout{400};
+constexpr Millis kFenceTimeout{400};
+// Wait for further fence answers once a majority of every set has answered.
+constexpr Millis kFenceGrace{20};
+constexpr Millis kCopyTimeout{1500};
+constexpr Millis kCopyPoll{5};
+constexpr Millis kPromoteTimeout{500};
+constexpr Millis kFollowTimeout{300};
+constexpr Millis kSpreadInterval{200};
+constexpr Millis kRowInterval{500};
+constexpr Millis kPromotionPause{100};
+// Entries by which a new voter may be behind when a planned change starts.
+constexpr std::uint64_t kCaughtUpEntries = 200;
+
+Duration AgeOfContact(const GroupView::Server& server, TimePoint now) {
+  return Millis(server.state.primary_contact_age_ms) + (now - server.received);
+}
+
+}  // namespace
+
+struct Steward::FenceRound {
+  std::mutex mutex;
+  PromotionPlan& plan;
+  std::size_t pending = 0;
+  std::optional<TimePoint> fenced_at;
+  bool ended = false;
+  Notifier changed;
+
+  explicit FenceRound(PromotionPlan& for_plan) : plan(for_plan) {}
+};
+
+Steward::Steward(ProxyContext& context,
+                 std::shared_ptr<Group> group,
+                 Membership& membership,
+                 PlatformClient& platform,
+                 AskPeers ask_peers)
+    : m_context(context),
+      m_group(std::move(group)),
+      m_membership(membership),
+      m_store(platform, m_group->id()),
+      m_owner(RandomId()),
+      m_ask_peers(std::move(ask_peers)),
+      m_options{Millis(context.settings.suspect_refused_ms),
+                Millis(context.settings.suspect_silence_ms),
+                Millis(context.settings.suspect_unreachable_ms),
+                Millis(context.settings.steward_step_ms)} {}
+
+void Steward::Start() {
+  Spawn(m_context.io,
+        [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->Run(); });
+}
+
+asio::awaitable<void> Steward::Run() {
+  while (!m_stopped) {
+    co_await Step();
+    const auto committed = m_group->WithView([](const GroupView& view) { return view.term(); });
+    // A change of the view is looked at soon, but not more often than every few milliseconds.
+    co_await Sleep(kStepPause / 10);
+    co_await m_group->WaitFor(
+        [this, committed](const GroupView& view) {
+          return m_stopped || view.term() != committed ||
+                 JudgePrimary(Gather(view), m_options) != Suspicion::kNone;
+        },
+        Clock::now() + kStepPause);
+  }
+}
+
+asio::awaitable<void> Steward::Step() {
+  const auto rank = m_membership.StewardRank(m_group->id());
+  m_group->set_watched(rank < kWatchingRanks);
+  if (rank >= kWatchingRanks) {
+    m_suspected_since.reset();
+    co_return;
+  }
+  const auto term = m_group->WithView([](const GroupView& view) { return view.term(); });
+  if (term == Term()) {
+    if (rank == 0) {
+      co_await Bootstrap();
+    }
+    co_return;
+  }
+  co_await WatchPrimary(rank);
+  co_await Maintain(rank);
+}
+
+PrimaryEvidence Steward::Gather(const GroupView& view) const {
+  const auto now = Clock::now();
+  PrimaryEvidence evidence;
+  evidence.voters = view.voters().size();
+  const auto primary = view.primary();
+  for (const auto& voter : view.voters()) {
+    const auto* server = view.Find(voter);
+    if (server == nullptr) {
+      continue;
+    }
+    if (voter == primary) {
+      if (server->failing_since) {
+        evidence.failing = now - *server->failing_since;
+      }
+      continue;
+    }
+    // Only a server that follows this term's primary can tell whether it still hears it, and what
+    // it said before it last answered is no evidence.
+    if (server->reachable && server->state.fenced == view.term() &&
+        !server->state.primary_address.empty()) {
+      const auto told = Millis(server->state.primary_contact_age_ms);
+      evidence.contact_ages.push_back(told >= m_options.refused_limit ? AgeOfContact(*server, now)
+                                                                      : Duration(told));
+    }
+  }
+  if (view.heard_term() > view.term() && m_fenced_above == view.heard_term() &&
+      m_fenced_above_since) {
+    evidence.fenced_above = now - *m_fenced_above_since;
+  }
+  return evidence;
+}
+
+asio::awaitable<void> Steward::WatchPrimary(std::size_t rank) {
+  const auto heard = m_group->WithView([](const GroupView& view) {
+    return view.heard_term() > view.term() ? view.heard_term() : Term();
+  });
+  if (heard != m_fenced_above) {
+    m_fenced_above = heard;
+    m_fenced_above_since = Clock::now();
+  }
+  if (m_used_terms.contains(heard)) {
+    // This steward knows that its own promotion did not finish.
+    m_fenced_above_since = Clock::now() - m_options.abandoned_limit;
+  }
+  auto evidence = GatherNow();
+  if (ShouldAskPeers(evidence, m_options)) {
+    co_await m_ask_peers(m_group->id(), evidence);
+  }
+  const auto suspicion = JudgePrimary(evidence, m_options);
+  const auto now = Clock::now();
+  if (suspicion == Suspicion::kNone) {
+    m_suspected_since.reset();
+    co_return;
+  }
+  if (!m_suspected_since) {
+    m_suspected_since = now;
+    const auto primary = m_group->WithView([](const GroupView& view) { return view.primary(); });
+    m_context.events.Emit(EventCode::kPrimarySuspected,
+                          {.group = m_group->id(),
+                           .endpoint = primary.value_or(EndpointId()),
+                           .detail = "suspicion " + std::to_string(static_cast<int>(suspicion)) +
+                                     " rank " + std::to_string(rank)});
+  }
+  const auto step = Millis(m_context.settings.steward_step_ms);
+  if (now - *m_suspected_since < rank * step || now < m_next_promotion) {
+    co_return;
+  }
+  co_await m_group->Refresh();
+  if (suspicion != Suspicion::kUnreachable &&
+      JudgePrimary(GatherNow(), m_options) == Suspicion::kNone) {
+    co_return;
+  }
+  if (co_await Promote(Reason::kFailure, EligibleAfterFailure(suspicion))) {
+    m_suspected_since.reset();
+  }
+  m_next_promotion = Clock::now() + kPromotionPause;
+}
+
+PrimaryEvidence Steward::GatherNow() const {
+  auto evidence = m_group->WithView([this](const GroupView& view) { return Gather(view); });
+  const auto primary = m_group->WithView([](const GroupView& view) { return view.primary(); });
+  const auto runtime = primary ? m_group->Find(*primary) : nullptr;
+  evidence.refused = runtime != nullptr && runtime->refused;
+  return evidence;
+}
+
+std::vector<EndpointId> Steward::EligibleAfterFailure(Suspicion suspicion) const {
+  auto eligible = m_group->record().ServingIds();
+  const auto primary = m_group->WithView([](const GroupView& view) { return view.primary(); });
+  if (!primary) {
+    return eligible;
+  }
+  const auto place = std::find(eligible.begin(), eligible.end(), *primary);
+  if (place == eligible.end()) {
+    return eligible;
+  }
+  if (suspicion == Suspicion::kAbandonedPromotion) {
+    // The primary may be well; keeping it costs its replicas nothing.
+    std::rotate(eligible.begin(), place, place + 1);
+  } else {
+    std::rotate(place, place + 1, eligible.end());
+  }
+  return eligible;
+}
+
+std::vector<EndpointId> Steward::Reachable() const {
+  return m_group->WithView([](const GroupView& view) {
+    std::vector<EndpointId> reachable;
+    for (const auto& [id, server] : view.servers()) {
+      if (server.reachable) {
+        reachable.push_back(id);
+      }
+    }
+    return reachable;
+  });
+}
+
+asio::awaitable<void> Steward::Bootstrap() {
+  if (Clock::now() < m_next_promotion) {
+    co_return;
+  }
+  m_next_promotion = Clock::now() + kPromotionPause;
+  co_await m_group->Refresh();
+  const auto record = m_group->record();
+  const auto reachable = Reachable();
+  const bool all = std::all_of(
+      record.endpoints.begin(), record.endpoints.end(), [&](const EndpointSpec& endpoint) {
+        return std::find(reachable.begin(), reachable.end(), endpoint.id) != reachable.end();
+      });
+  const auto term = m_group->WithView([](const GroupView& view) { return view.term(); });
+  // The record names the server whose data counts; nobody else may open the first term.
+  if (all && term == Term()) {
+    std::vector<EndpointId> eligible;
+    eligible.push_back(record.initial_primary);
+    co_await Promote(Reason::kBootstrap, std::move(eligible));
+  }
+}
+
+asio::awaitable<void> Steward::Maintain(std::size_t rank) {
+  if (rank < kReservingRanks) {
+    co_await UpdateRow(rank);
+  }
+  if (rank == 0) {
+    co_await SpreadTerm();
+    co_await FollowRecord();
+  }
+}
+
+asio::awaitable<void> Steward::UpdateRow(std::size_t rank) {
+  const auto now = Clock::now();
+  const auto complete = m_group->WithView(
+      [](const GroupView& view) { return view.IsTermComplete() ? view.term() : Term(); });
+  if (complete > m_told_complete) {
+    m_told_complete = complete;
+    m_context.events.Emit(EventCode::kTermComplete, {.group = m_group->id(), .term = complete});
+  }
+  const auto voters = m_group->record().ServingIds();
+  const bool reservation_fits = m_reserved && m_reserved->allocation.term > complete &&
+                                m_reserved->allocation.voters == voters;
+  const bool row_fits = m_store.cached().complete >= complete;
+  if (complete == Term() || (reservation_fits && row_fits) || now < m_next_row_update) {
+    co_return;
+  }
+  const auto& owner = m_owner;
+  Term reserved;
+  const auto row = co_await m_store.Change(
+      [&](TermRow& current) {
+        current.MarkComplete(complete);
+        // A reservation that a lost answer made is found again by its owner.
+        const auto own =
+            std::find_if(current.allocations.rbegin(), current.allocations.rend(),
+                         [&](const TermAllocation& allocation) {
+                           return allocation.owner == owner && allocation.term > complete &&
+                                  allocation.voters == voters && allocation.term > current.complete;
+                         });
+        const bool known = own != current.allocations.rend() && !m_used_terms.contains(own->term);
+        reserved = known ? own->term : current.Allocate(voters, owner).term;
+        return true;
+      },
+      now + kTableTimeout);
+  m_next_row_update = Clock::now() + kRowInterval;
+  if (!row) {
+    co_return;
+  }
+  m_reserved = row->TaskOf(reserved);
+  m_context.events.Emit(
+      EventCode::kTermReserved,
+      {.group = m_group->id(), .term = reserved, .detail = "rank " + std::to_string(rank)});
+}
+
+asio::awaitable<void> Steward::SpreadTerm() {
+  const auto now = Clock::now();
+  if (now < m_next_spread) {
+    co_return;
+  }
+  m_next_spread = now + kSpreadInterval;
+  Term term;
+  std::optional<EndpointId> primary;
+  std::vector<EndpointId> stray;
+  m_group->WithView([&](const GroupView& view) {
+    term = view.term();
+    primary = view.primary();
+    if (view.heard_term() > term) {
+      return 0;
+    }
+    for (const auto& [id, server] : view.servers()) {
+      const bool follows = server.state.fenced == term && !server.state.primary_address.empty();
+      if (id != primary && server.reachable && !follows) {
+        stray.push_back(id);
+      }
+    }
+    return 0;
+  });
+  const auto source = primary ? m_group->Find(*primary) : nullptr;
+  if (source == nullptr) {
+    co_return;
+  }
+  for (const auto& id : stray) {
+    if (const auto endpoint = m_group->Find(id)) {
+      const auto sent = Clock::now();
+      FollowRequest request;
+      request.term = term;
+      request.address = source->spec.address;
+      const auto state =
+          co_await endpoint->client->Follow(std::move(request), sent + kFollowTimeout);
+      if (state) {
+        m_group->ObserveState(*state, sent);
+      }
+    }
+  }
+}
+
+bool Steward::NewVotersCaughtUp(const std::vector<EndpointId>& voters) const {
+  return m_group->WithView([&](const GroupView& view) {
+    const auto committed = view.committed().value();
+    const auto caught_up = std::count_if(voters.begin(), voters.end(), [&](const EndpointId& id) {
+      const auto* server = view.Find(id);
+      return server != nullptr && server->reachable && server->state.lineage == view.term() &&
+             server->state.held.value() + kCaughtUpEntries >= committed;
+    });
+    return static_cast<std::size_t>(caught_up) >= MajorityOf(voters.size());
+  });
+}
+
+asio::awaitable<void> Steward::FollowRecord() {
+  const auto voters = m_group->record().ServingIds();
+  const auto current = m_group->WithView([](const GroupView& view) {
+    return view.IsTermComplete() && view.heard_term() == view.term() ? std::optional(view.voters())
+                                                                     : std::nullopt;
+  });
+  const auto primary = m_group->WithView([](const GroupView& view) { return view.primary(); });
+  if (!current ||
+      std::is_permutation(current->begin(), current->end(), voters.begin(), voters.end()) ||
+      Clock::now() < m_next_promotion || !NewVotersCaughtUp(voters)) {
+    co_return;
+  }
+  m_context.events.Emit(EventCode::kSwitchoverStarted, {.group = m_group->id()});
+  auto eligible = voters;
+  // The primary stays if it serves; else the server that holds most goes first.
+  m_group->WithView([&](const GroupView& view) {
+    std::stable_sort(
+        eligible.begin(), eligible.end(), [&](const EndpointId& a, const EndpointId& b) {
+          const auto held = [&](const EndpointId& id) {
+            const auto* server = view.Find(id);
+            return std::pair(id == primary, server == nullptr ? LogIndex() : server->state.held);
+          };
+          return held(b) < held(a);
+        });
+    return 0;
+  });
+  co_await Promote(Reason::kSwitchover, std::move(eligible));
+  m_next_promotion = Clock::now() + kPromotionPause;
+}
+
+asio::awaitable<std::optional<PromotionTask>> Steward::TakeTerm(Reason reason) {
+  const auto heard = m_group->WithView([](const GroupView& view) { return view.heard_term(); });
+  const auto voters = m_group->record().ServingIds();
+  const auto usable = [&] { return m_reserved && m_reserved->allocation.term > heard; };
+  if (usable() && m_reserved->allocation.voters == voters) {
+    const auto task = std::exchange(m_reserved, std::nullopt);
+    m_used_terms.insert(task->allocation.term);
+    m_context.events.Emit(EventCode::kReservedTermUsed,
+                          {.group = m_group->id(), .term = task->allocation.term});
+    co_return task;
+  }
+  Term term;
+  const auto row = co_await m_store.Change(
+      [&](TermRow& current) {
+        // Terms that were used without the table's knowledge are not handed out again.
+        current.last = std::max(current.last, heard);
+        term = current.Allocate(voters, m_owner).term;
+        return true;
+      },
+      Clock::now() + kTableTimeout);
+  if (row) {
+    m_used_terms.insert(term);
+    m_context.events.Emit(EventCode::kTermAllocated, {.group = m_group->id(), .term = term});
+    co_return row->TaskOf(term);
+  }
+  if (reason == Reason::kFailure && usable()) {
+    const auto task = std::exchange(m_reserved, std::nullopt);
+    m_used_terms.insert(task->allocation.term);
+    co_return task;
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<bool> Steward::Promote(Reason reason, std::vector<EndpointId> eligible) {
+  auto task = co_await TakeTerm(reason);
+  if (!task) {
+    co_return false;
+  }
+  PromotionPlan plan(std::move(*task), std::move(eligible));
+  const auto give_up = [&](const char* why) {
+    m_context.events.Emit(EventCode::kPromotionFailed,
+                          {.group = m_group->id(), .term = plan.allocation().term, .detail = why});
+    return false;
+  };
+  if (!plan.CanFinish(Reachable())) {
+    co_return give_up("too few servers are reachable");
+  }
+  if (!co_await Fence(plan)) {
+    co_return give_up("too few servers were fenced");
+  }
+  const auto candidate = plan.Candidate();
+  if (!candidate) {
+    co_return give_up("no eligible voter was fenced");
+  }
+  if (!co_await CopyLog(plan, *candidate)) {
+    co_return give_up("the log could not be copied");
+  }
+  if (!co_await Open(plan, *candidate)) {
+    co_return give_up("the candidate did not open the term");
+  }
+  const char* label = reason == Reason::kFailure     ? "failure"
+                      : reason == Reason::kBootstrap ? "bootstrap"
+                                                     : "switchover";
+  m_context.metrics.CountPromotion(label);
+  m_next_spread = TimePoint();
+  co_await SpreadTerm();
+  m_group->Touch();
+  co_return true;
+}
+
+asio::awaitable<bool> Steward::Fence(PromotionPlan& plan) {
+  const auto round = std::make_shared<FenceRound>(plan);
+  const auto term = plan.allocation().term;
+  const auto deadline = Clock::now() + kFenceTimeout;
+  const auto targets = plan.Targets();
+  round->pending = targets.size();
+  for (const auto& id : targets) {
+    const auto endpoint = m_group->Find(id);
+    Spawn(m_context.io,
+          [self = shared_from_this(), round, endpoint, id, term,
+           deadline]() -> asio::awaitable<void> {
+            std::optional<Outcome<ServerState>> state;
+            if (endpoint != nullptr) {
+              const FenceRequest request{term};
+              state = co_await endpoint->client->Fence(request, deadline);
+            }
+            {
+              const std::lock_guard lock(round->mutex);
+              --round->pending;
+              // The plan is gone once the round has ended.
+              if (state && *state && !round->ended) {
+                round->plan.OnFenced(id, (*state)->last);
+                if (round->plan.IsFenced() && !round->fenced_at) {
+                  round->fenced_at = Clock::now();
+                }
+              }
+            }
+            if (state && *state) {
+              self->m_context.events.Emit(EventCode::kServerFenced,
+                                          {.group = self->m_group->id(),
+                                           .endpoint = id,
+                                           .term = term,
+                                           .index = (*state)->last.index});
+            }
+            round->changed.NotifyAll();
+          });
+  }
+  const auto finished = [&] {
+    const std::lock_guard lock(round->mutex);
+    return round->pending == 0 || round->fenced_at.has_value();
+  };
+  co_await round->changed.WaitUntil(finished, deadline);
+  const auto all_answered = [&] {
+    const std::lock_guard lock(round->mutex);
+    return round->pending == 0;
+  };
+  // A server that answers a little later may hold the log already and spare the copy.
+  co_await round->changed.WaitUntil(all_answered, std::min(deadline, Clock::now() + kFenceGrace));
+  const std::lock_guard lock(round->mutex);
+  round->ended = true;
+  co_return plan.IsFenced();
+}
+
+asio::awaitable<bool> Steward::CopyLog(const PromotionPlan& plan, const EndpointId& candidate) {
+  const auto best = plan.Best();
+  const auto target = m_group->Find(candidate);
+  const auto source = m_group->Find(plan.Source());
+  if (target == nullptr || source == nullptr) {
+    co_return false;
+  }
+  const auto term = plan.allocation().term;
+  const auto deadline = Clock::now() + kCopyTimeout;
+  bool asked = false;
+  while (Clock::now() < deadline) {
+    const StateRequest question;
+    const auto state = co_await target->client->State(question, deadline);
+    if (state && state->last == best) {
+      co_return true;
+    }
+    if (!asked) {
+      FollowRequest request{term, source->spec.address, best};
+      const auto copying = co_await target->client->Follow(std::move(request), deadline);
+      asked = copying.has_value();
+    }
+    co_await Sleep(kCopyPoll);
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> Steward::Open(const PromotionPlan& plan, const EndpointId& candidate) {
+  const auto target = m_group->Find(candidate);
+  if (target == nullptr) {
+    co_return false;
+  }
+  const auto& allocation = plan.allocation();
+  const auto sent = Clock::now();
+  PromoteRequest request;
+  request.term = allocation.term;
+  request.last = plan.Best();
+  request.note = Encode(TermNote{candidate, allocation.voters});
+  const auto state = co_await target->client->Promote(std::move(request), sent + kPromoteTimeout);
+  if (!state) {
+    co_return false;
+  }
+  m_context.events.Emit(EventCode::kPrimaryPromoted, {.group = m_group->id(),
+                                                      .endpoint = candidate,
+                                                      .term = allocation.term,
+                                                      .index = state->start});
+  m_group->ObserveState(*state, sent);
+  co_return true;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/transaction_service.cc
@@ -0,0 +1,182 @@
+#include "proxy/transaction_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cardamom {
+namespace {
+
+std::uint32_t WaitUntil(TimePoint deadline) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(1, ToMillis(deadline - Clock::now()).count()));
+}
+
+}  // namespace
+
+asio::awaitable<Outcome<TransactionId>> TransactionService::Begin(std::shared_ptr<Group> group,
+                                                                  TimePoint deadline) {
+  Term least;
+  for (;;) {
+    const auto primary = co_await group->WaitForPrimary(least, deadline);
+    if (!primary) {
+      co_return primary.error();
+    }
+    TransactionRequest request;
+    request.term = primary->term;
+    request.wait_ms = WaitUntil(deadline);
+    const auto timeout = Millis(m_context.settings.attempt_timeout_ms);
+    auto begun = co_await primary->endpoint->client->Begin(
+        std::move(request), std::min(deadline, Clock::now() + timeout));
+    if (begun) {
+      const auto id = NewTransactionId(VmId(m_context.settings.vm_id));
+      auto entry = std::make_shared<Entry>();
+      entry->group = group;
+      entry->term = primary->term;
+      entry->transaction = std::move(*begun);
+      entry->last_use = Clock::now();
+      const std::lock_guard lock(m_mutex);
+      m_entries.emplace(id, std::move(entry));
+      co_return id;
+    }
+    // Nothing of the caller was sent, so that a begin may be repeated.
+    if (begun.error().code == ResultCode::kNotPrimary) {
+      least = Term(primary->term.value() + 1);
+    }
+    if (IsConnectionFailure(begun.error())) {
+      group->ObserveFailure(*primary->endpoint, begun.error());
+    }
+    const auto next = DecideRetry(begun.error(), {true, deadline, Clock::now()});
+    if (next == AfterAttempt::kReport || !group->TryRetry()) {
+      co_return Error{begun.error().code, begun.error().detail, Ran::kNo};
+    }
+    co_await group->Refresh();
+  }
+}
+
+Outcome<TransactionService::EntryPtr> TransactionService::Take(const TransactionId& id) {
+  const std::lock_guard lock(m_mutex);
+  const auto it = m_entries.find(id);
+  if (it == m_entries.end()) {
+    return Error{ResultCode::kUnknownTransaction, "no open transaction of that id"};
+  }
+  if (it->second->busy) {
+    return Error{ResultCode::kTransactionBusy, "another request of the transaction is running"};
+  }
+  it->second->busy = true;
+  return it->second;
+}
+
+void TransactionService::GiveBack(const EntryPtr& entry) {
+  const std::lock_guard lock(m_mutex);
+  entry->busy = false;
+  entry->last_use = Clock::now();
+}
+
+void TransactionService::Drop(const TransactionId& id) {
+  EntryPtr dropped;
+  const std::lock_guard lock(m_mutex);
+  const auto it = m_entries.find(id);
+  if (it != m_entries.end()) {
+    dropped = std::move(it->second);
+    m_entries.erase(it);
+  }
+}
+
+asio::awaitable<Outcome<StatementResult>> TransactionService::Execute(TransactionId id,
+                                                                      Statement statement,
+                                                                      TimePoint deadline) {
+  const auto entry = Take(id);
+  if (!entry) {
+    co_return entry.error();
+  }
+  TransactionRequest request;
+  request.term = (*entry)->term;
+  request.wait_ms = WaitUntil(deadline);
+  (*entry)->statements += Encode(statement);
+  request.statement = std::move(statement);
+  auto result = co_await (*entry)->transaction->Execute(std::move(request), deadline);
+  if (result || result.error().code == ResultCode::kStatementFailed) {
+    GiveBack(*entry);
+    co_return result;
+  }
+  Drop(id);
+  co_return Error{ResultCode::kTransactionAborted, result.error().detail, Ran::kNo};
+}
+
+asio::awaitable<Outcome<TransactionService::Commit>>
+TransactionService::CommitAndConfirm(TransactionId id, IdempotencyKey key, TimePoint deadline) {
+  const auto taken = Take(id);
+  if (!taken) {
+    co_return taken.error();
+  }
+  const auto entry = *taken;
+  const auto group = entry->group;
+  WriteRequest request;
+  request.term = entry->term;
+  request.key = key;
+  request.fingerprint = FingerprintOf(Statement{entry->statements, {}});
+  const auto timeout = Millis(m_context.settings.attempt_timeout_ms);
+  const auto answer = co_await entry->transaction->Commit(
+      std::move(request), std::min(deadline, Clock::now() + timeout));
+  // The connection is pooled again after a good answer, and closed otherwise.
+  Drop(id);
+  entry->transaction.reset();
+  if (!answer && answer.error().ran == Ran::kNo) {
+    const bool conflict = answer.error().code == ResultCode::kKeyConflict;
+    co_return Error{conflict ? ResultCode::kKeyConflict : ResultCode::kTransactionAborted,
+                    answer.error().detail, Ran::kNo};
+  }
+  if (answer) {
+    group->ObserveHeld(group->WithView([](const GroupView& view) { return view.primary(); })
+                           .value_or(EndpointId()),
+                       answer->position);
+    const auto state = co_await group->WaitForCommit(answer->position, deadline);
+    if (state == Group::CommitState::kCommitted) {
+      co_return Commit{group->id(), {answer->result, answer->position, answer->replayed}};
+    }
+  }
+  auto resolved = co_await m_writes.ResolveCommit(group, std::move(key), deadline);
+  if (!resolved) {
+    co_return resolved.error();
+  }
+  co_return Commit{group->id(), std::move(*resolved)};
+}
+
+asio::awaitable<Outcome<void>> TransactionService::Rollback(TransactionId id, TimePoint deadline) {
+  const auto entry = Take(id);
+  if (!entry) {
+    co_return entry.error();
+  }
+  // Whatever the answer: the connection closes unless the endpoint confirmed, and a closed
+  // connection rolls back.
+  co_await (*entry)->transaction->Rollback(deadline);
+  Drop(id);
+  co_return Outcome<void>();
+}
+
+void TransactionService::CloseIdle(TimePoint now) {
+  std::vector<EntryPtr> closed;
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto limit = Millis(m_context.settings.transaction_idle_ms);
+    std::erase_if(m_entries, [&](const auto& item) {
+      const auto& entry = item.second;
+      if (entry->busy || now - entry->last_use < limit) {
+        return false;
+      }
+      closed.push_back(entry);
+      return true;
+    });
+  }
+  for (const auto& entry : closed) {
+    m_context.events.Emit(EventCode::kTransactionAbandoned, {.group = entry->group->id()});
+  }
+}
+
+std::size_t TransactionService::open() const {
+  const std::lock_guard lock(m_mutex);
+  return m_entries.size();
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/proxy/write_service.cc
@@ -0,0 +1,210 @@
+#include "proxy/write_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kRetryPause{10};
+constexpr Millis kMaxRetryPause{200};
+constexpr std::string_view kAbortFingerprint = "aborted";
+
+// Backs off with the attempt number.
+Millis PauseAfter(int attempts) {
+  return std::min(kMaxRetryPause, kRetryPause * (1 << std::min(attempts, 6)));
+}
+
+Error Unresolved(const Error& error, bool may_have_run) {
+  if (!may_have_run) {
+    return {error.code, error.detail, Ran::kNo};
+  }
+  return {ResultCode::kOutcomeUnknown, error.detail, Ran::kUnknown};
+}
+
+}  // namespace
+
+std::string FingerprintOf(const Statement& statement) {
+  const auto text = Encode(statement);
+  const auto hash = XXH3_128bits(text.data(), text.size());
+  return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
+}
+
+asio::awaitable<Outcome<WriteReceipt>> WriteService::Write(std::shared_ptr<Group> group,
+                                                           WriteCommand command,
+                                                           TimePoint deadline) {
+  if (group->OldestCommitWait() > Millis(m_context.settings.stall_limit_ms)) {
+    co_return Error{ResultCode::kReplicationStalled, "earlier writes wait for replicas"};
+  }
+  WriteRequest request;
+  request.key = std::move(command.key);
+  request.fingerprint = FingerprintOf(command.statement);
+  request.statement = std::move(command.statement);
+  co_return co_await Run(*group, std::move(request), deadline);
+}
+
+asio::awaitable<Outcome<WriteReceipt>> WriteService::Run(Group& group,
+                                                         WriteRequest request,
+                                                         TimePoint deadline) {
+  Progress progress;
+  group.OnFirstAttempt();
+  for (;;) {
+    auto result = co_await Attempt(group, request, progress, deadline);
+    if (result) {
+      co_return result;
+    }
+    const auto error = result.error();
+    ++progress.attempts;
+    const auto next = DecideRetry(error, {true, deadline, Clock::now()});
+    if (next == AfterAttempt::kReport || !group.TryRetry()) {
+      if (error.code == ResultCode::kKeyConflict) {
+        co_return error;
+      }
+      co_return Unresolved(error, progress.may_have_run);
+    }
+    m_context.metrics.CountRetry(InfoOf(error.code).name.data());
+    if (next == AfterAttempt::kRetry) {
+      co_await Sleep(PauseAfter(progress.attempts));
+      co_await group.Refresh();
+    }
+  }
+}
+
+asio::awaitable<Outcome<WriteReceipt>> WriteService::Attempt(Group& group,
+                                                             const WriteRequest& request,
+                                                             Progress& progress,
+                                                             TimePoint deadline) {
+  const auto primary = co_await group.WaitForPrimary(progress.least, deadline);
+  if (!primary) {
+    co_return primary.error();
+  }
+  auto pass = co_await primary->endpoint->gate->Enter(Priority::kWrite, deadline);
+  if (!pass) {
+    co_return pass.error();
+  }
+  auto sent = request;
+  sent.term = primary->term;
+  const auto timeout = Millis(m_context.settings.attempt_timeout_ms);
+  const auto attempt_deadline = std::min(deadline, Clock::now() + timeout);
+  sent.wait_ms = static_cast<std::uint32_t>(
+      std::max<std::int64_t>(1, ToMillis(attempt_deadline - Clock::now()).count()));
+  const auto answer =
+      co_await SendUntilTermChanges(group, *primary, std::move(sent), attempt_deadline);
+  if (!answer) {
+    const auto& error = answer.error();
+    progress.may_have_run = progress.may_have_run || error.ran != Ran::kNo;
+    if (error.code == ResultCode::kNotPrimary) {
+      progress.least = Term(primary->term.value() + 1);
+      co_await group.Refresh();
+    } else if (IsConnectionFailure(error)) {
+      group.ObserveFailure(*primary->endpoint, error);
+    } else if (error.code == ResultCode::kOverloaded) {
+      pass->Overloaded();
+    }
+    co_return error;
+  }
+  pass->Succeeded();
+  progress.may_have_run = true;
+  group.ObserveHeld(primary->endpoint->spec.id, answer->position);
+  {
+    // The place at the endpoint is free while replicas confirm.
+    const auto ended = std::move(*pass);
+  }
+  switch (co_await group.WaitForCommit(answer->position, deadline)) {
+    case Group::CommitState::kCommitted:
+      co_return WriteReceipt{answer->result, answer->position, answer->replayed};
+    case Group::CommitState::kTermChanged:
+      m_context.events.Emit(
+          EventCode::kWriteWaited,
+          {.group = group.id(), .term = answer->position.term, .index = answer->position.index});
+      co_return Error{ResultCode::kNotPrimary, "the primary was replaced", Ran::kUnknown};
+    case Group::CommitState::kDeadline:
+      break;
+  }
+  co_return Error{ResultCode::kOutcomeUnknown, "replicas did not confirm in time", Ran::kUnknown};
+}
+
+asio::awaitable<Outcome<WriteAnswer>> WriteService::SendUntilTermChanges(
+    Group& group,
+    const Group::Primary& primary,
+    WriteRequest request,
+    TimePoint deadline) {
+  // The request runs on its own, so that a primary that froze does not hold up its successor's
+  // work. A late answer is dropped with its connection.
+  auto answer = std::make_shared<std::optional<Outcome<WriteAnswer>>>();
+  auto mutex = std::make_shared<std::mutex>();
+  const auto client = primary.endpoint->client;
+  const auto keep = group.shared_from_this();
+  Spawn(m_context.io, [=]() mutable -> asio::awaitable<void> {
+    auto result = co_await client->Write(std::move(request), deadline);
+    {
+      const std::lock_guard lock(*mutex);
+      *answer = std::move(result);
+    }
+    keep->NotifyChanged();
+  });
+  const auto term = primary.term;
+  const auto done = [&](const GroupView& view) {
+    const std::lock_guard lock(*mutex);
+    return answer->has_value() || view.term() > term;
+  };
+  co_await group.WaitFor(done, deadline + kRetryPause);
+  const std::lock_guard lock(*mutex);
+  if (answer->has_value()) {
+    co_return **answer;
+  }
+  co_return Error{ResultCode::kTransport, "the primary was replaced before it answered",
+                  Ran::kUnknown};
+}
+
+asio::awaitable<Outcome<WriteReceipt>> WriteService::ResolveCommit(std::shared_ptr<Group> group,
+                                                                   IdempotencyKey key,
+                                                                   TimePoint deadline) {
+  // Whoever stores the key first wins: this write, or the commit that may still be under way.
+  WriteRequest request;
+  request.key = key;
+  request.fingerprint = kAbortFingerprint;
+  request.statement.sql = "SELECT 1";
+  const auto aborted = co_await Run(*group, std::move(request), deadline);
+  if (aborted) {
+    co_return Error{ResultCode::kTransactionAborted, "the commit did not take effect", Ran::kNo};
+  }
+  if (aborted.error().code != ResultCode::kKeyConflict) {
+    co_return Error{ResultCode::kOutcomeUnknown, aborted.error().detail, Ran::kUnknown};
+  }
+  const auto stored = co_await Lookup(group, std::move(key), deadline);
+  if (!stored || !stored->found) {
+    co_return Error{ResultCode::kOutcomeUnknown, "the outcome cannot be read", Ran::kUnknown};
+  }
+  if (co_await group->WaitForCommit(stored->position, deadline) != Group::CommitState::kCommitted) {
+    co_return Error{ResultCode::kOutcomeUnknown, "replicas did not confirm in time", Ran::kUnknown};
+  }
+  co_return WriteReceipt{stored->result, stored->position, true};
+}
+
+asio::awaitable<Outcome<KeyAnswer>> WriteService::Lookup(std::shared_ptr<Group> group,
+                                                         IdempotencyKey key,
+                                                         TimePoint deadline) {
+  const auto primary = co_await group->WaitForPrimary(Term(), deadline);
+  if (!primary) {
+    co_return primary.error();
+  }
+  KeyRequest request{primary->term, std::move(key)};
+  auto answer = co_await primary->endpoint->client->Key(std::move(request), deadline);
+  if (answer && answer->found) {
+    group->ObserveHeld(primary->endpoint->spec.id, answer->position);
+    const auto state = co_await group->WaitForCommit(answer->position, deadline);
+    if (state != Group::CommitState::kCommitted) {
+      co_return Error{ResultCode::kOutcomeUnknown, "the outcome is not confirmed yet",
+                      Ran::kUnknown};
+    }
+  }
+  co_return answer;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,86 @@
+// Settings of the daemon, from flags and environment.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cardamom/error.h"
+#include "http/address.h"
+
+namespace cardamom {
+
+// A value type; distinct objects may be used from distinct threads.
+struct Settings {
+  std::string vm_id;
+  std::string domain;
+  std::string region;
+  std::string listen_callers;
+  std::string listen_peers;
+  std::string listen_operations;
+  std::string platform;
+  std::string peer_key;
+  std::string token_key;
+  std::string log_format;
+  std::string log_level;
+  std::int64_t threads = 0;
+  std::int64_t event_ring = 0;
+  std::int64_t max_body_bytes = 0;
+  std::int64_t default_deadline_ms = 0;
+  std::int64_t max_deadline_ms = 0;
+  std::int64_t attempt_timeout_ms = 0;
+  std::int64_t queue_capacity = 0;
+  std::int64_t read_wait_ms = 0;
+  std::int64_t stall_limit_ms = 0;
+  std::int64_t suspect_refused_ms = 0;
+  std::int64_t suspect_silence_ms = 0;
+  std::int64_t suspect_unreachable_ms = 0;
+  std::int64_t steward_step_ms = 0;
+  std::int64_t config_poll_ms = 0;
+  std::int64_t config_stale_ms = 0;
+  std::int64_t relays_per_domain = 0;
+  std::int64_t transaction_idle_ms = 0;
+  std::int64_t stop_notice_ms = 0;
+  std::int64_t stop_limit_ms = 0;
+  std::int64_t spare_shares = 0;
+
+  // Looks up an environment variable.
+  using Environment = std::function<std::optional<std::string>(const std::string& name)>;
+
+  // Reads flags, then environment variables for what no flag gives, then defaults. Errors:
+  // kBadSetting whose detail lists every problem. Thread safe.
+  static Checked<Settings> Read(const std::vector<std::string>& arguments,
+                                const Environment& environment);
+};
+
+// A setting whose value is a whole number.
+struct NumberSetting {
+  std::string_view name;
+  std::int64_t Settings::*member;
+  std::int64_t initial;
+  std::int64_t least;
+  std::int64_t most;
+  std::string_view unit;
+  std::string_view meaning;
+};
+
+// A setting whose value is a text.
+struct TextSetting {
+  std::string_view name;
+  std::string Settings::*member;
+  std::string_view initial;
+  bool required;
+  std::string_view meaning;
+};
+
+std::span<const NumberSetting> NumberSettings();
+std::span<const TextSetting> TextSettings();
+
+// Name of the environment variable of a setting. Thread safe.
+std::string EnvironmentName(std::string_view setting);
+
+}  // namespace cardamom
--- /dev/null
+++ b/standin/endpoint_server.cc
@@ -0,0 +1,645 @@
+#include "standin/endpoint_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "async/spawn.h"
+#include "core/random_id.h"
+#include "standin/json_answers.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kMaxWait{5000};
+constexpr Millis kPullTimeout{1000};
+constexpr Millis kPullRetryPause{20};
+constexpr Millis kCutHold{10'000};
+constexpr std::uint32_t kPullLimit = 512;
+
+// Requests that run no statements use connections that are not counted.
+bool IsControl(std::string_view target) {
+  return target == "/v1/state" || target == "/v1/fence" || target == "/v1/promote" ||
+         target == "/v1/follow" || target == "/v1/log";
+}
+
+TimePoint DeadlineFrom(std::uint32_t wait_ms) {
+  return Clock::now() + std::min(Millis(wait_ms), kMaxWait);
+}
+
+}  // namespace
+
+Outcome<std::unique_ptr<EndpointServer>> EndpointServer::Create(
+    asio::io_context& context,
+    const EndpointServerOptions& options) {
+  std::unique_ptr<EndpointServer> server(new EndpointServer(context, options));
+  HttpServerOptions http;
+  http.listen = options.listen;
+  http.max_body_bytes = 16U << 20;
+  auto* raw = server.get();
+  auto listening = HttpServer::Create(
+      context, http,
+      {[raw](HttpRequest request) { return raw->Handle(std::move(request)); },
+       [](std::uint64_t /*id*/) {}, [raw](std::uint64_t id) { raw->OnClose(id); }});
+  if (!listening) {
+    return listening.error();
+  }
+  server->m_http = std::move(*listening);
+  return server;
+}
+
+EndpointServer::EndpointServer(asio::io_context& context, const EndpointServerOptions& options)
+    : m_context(context), m_options(options), m_instance(RandomId()), m_replica(options.endpoint) {}
+
+bool EndpointServer::IsCut(const HttpRequest& request) const {
+  const auto from = request.Header("Cardamom-From");
+  const std::lock_guard lock(m_mutex);
+  return from && std::find(m_faults.cut.begin(), m_faults.cut.end(), *from) != m_faults.cut.end();
+}
+
+asio::awaitable<HttpResponse> EndpointServer::Handle(HttpRequest request) {
+  if (request.target.starts_with("/admin/")) {
+    co_return request.target == "/admin/faults" ? HandleFaults(request) : HandleStatistics();
+  }
+  if (IsCut(request)) {
+    // The cut also holds back what was sent before it heals.
+    co_await Sleep(kCutHold);
+    HttpResponse dropped;
+    dropped.drop = true;
+    co_return dropped;
+  }
+  if (!IsControl(request.target) && !co_await Admit(request.connection_id)) {
+    co_return ErrorAnswer({ResultCode::kOverloaded, "too many connections"});
+  }
+  auto response = co_await Route(request);
+  Millis delay;
+  {
+    const std::lock_guard lock(m_mutex);
+    delay = Millis(m_faults.answer_delay_ms);
+  }
+  if (delay > Millis(0)) {
+    co_await Sleep(delay);
+  }
+  if (IsCut(request)) {
+    response.drop = true;
+  }
+  co_return response;
+}
+
+asio::awaitable<HttpResponse> EndpointServer::Route(const HttpRequest& request) {
+  const auto& target = request.target;
+  if (target == "/v1/read") {
+    co_return co_await HandleRead(request);
+  }
+  if (target == "/v1/write") {
+    co_return co_await HandleWrite(request);
+  }
+  if (target == "/v1/state") {
+    co_return co_await HandleState(request);
+  }
+  if (target == "/v1/key") {
+    co_return co_await HandleKey(request);
+  }
+  if (target == "/v1/begin") {
+    co_return co_await HandleBegin(request);
+  }
+  if (target == "/v1/execute") {
+    co_return co_await HandleExecute(request);
+  }
+  if (target == "/v1/commit") {
+    co_return co_await HandleCommit(request);
+  }
+  if (target == "/v1/rollback") {
+    co_return HandleRollback(request);
+  }
+  if (target == "/v1/fence") {
+    co_return HandleFence(request);
+  }
+  if (target == "/v1/promote") {
+    co_return HandlePromote(request);
+  }
+  if (target == "/v1/follow") {
+    co_return HandleFollow(request);
+  }
+  if (target == "/v1/log") {
+    co_return co_await HandleLog(request);
+  }
+  if (target == "/v1/hello") {
+    const std::lock_guard lock(m_mutex);
+    co_return JsonAnswer(CurrentState());
+  }
+  co_return ErrorAnswer({ResultCode::kNoRoute, target});
+}
+
+asio::awaitable<bool> EndpointServer::Admit(std::uint64_t connection_id) {
+  {
+    const std::lock_guard lock(m_mutex);
+    ++m_requests;
+    if (m_connections.contains(connection_id)) {
+      co_return true;
+    }
+    if (m_connections.size() >= m_options.max_connections) {
+      ++m_refused_connections;
+      co_return false;
+    }
+    m_connections.insert(connection_id);
+    m_peak_connections = std::max(m_peak_connections, m_connections.size());
+  }
+  co_await Sleep(m_options.connect_cost);
+  co_return true;
+}
+
+void EndpointServer::OnClose(std::uint64_t connection_id) {
+  bool rolled_back = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    m_connections.erase(connection_id);
+    if (OwnsTransaction(connection_id)) {
+      m_replica.RollbackTransaction();
+      m_transaction_owner = 0;
+      m_writer_busy = false;
+      rolled_back = true;
+    }
+  }
+  if (rolled_back) {
+    m_slot_free.NotifyAll();
+  }
+}
+
+bool EndpointServer::OwnsTransaction(std::uint64_t connection_id) const {
+  return m_transaction_owner == connection_id && m_replica.InTransaction();
+}
+
+asio::awaitable<bool> EndpointServer::TakeSlot(TimePoint deadline) {
+  const auto take = [this] {
+    const std::lock_guard lock(m_mutex);
+    if (m_busy_slots >= m_options.slots) {
+      return false;
+    }
+    ++m_busy_slots;
+    return true;
+  };
+  if (take()) {
+    co_return true;
+  }
+  {
+    const std::lock_guard lock(m_mutex);
+    ++m_waiting_slots;
+    m_peak_waiting_slots = std::max(m_peak_waiting_slots, m_waiting_slots);
+  }
+  const bool taken = co_await m_slot_free.WaitUntil(take, deadline);
+  const std::lock_guard lock(m_mutex);
+  --m_waiting_slots;
+  co_return taken;
+}
+
+void EndpointServer::GiveSlot() {
+  {
+    const std::lock_guard lock(m_mutex);
+    --m_busy_slots;
+  }
+  m_slot_free.NotifyAll();
+}
+
+asio::awaitable<bool> EndpointServer::TakeWriter(std::uint64_t connection_id, TimePoint deadline) {
+  co_return co_await m_slot_free.WaitUntil(
+      [this, connection_id] {
+        const std::lock_guard lock(m_mutex);
+        if (m_writer_busy) {
+          return false;
+        }
+        m_writer_busy = true;
+        m_transaction_owner = connection_id;
+        return true;
+      },
+      deadline);
+}
+
+void EndpointServer::GiveWriter() {
+  {
+    const std::lock_guard lock(m_mutex);
+    m_writer_busy = false;
+    m_transaction_owner = 0;
+  }
+  m_slot_free.NotifyAll();
+}
+
+asio::awaitable<void> EndpointServer::Serve() {
+  if (m_options.service_time.count() > 0) {
+    co_await Sleep(m_options.service_time);
+  }
+}
+
+HttpResponse EndpointServer::Deliver(HttpResponse response) {
+  const std::lock_guard lock(m_mutex);
+  if (m_faults.lose_answers > 0) {
+    --m_faults.lose_answers;
+    response.drop = true;
+  }
+  return response;
+}
+
+TimePoint EndpointServer::ContactLimitPassesAt(Millis limit) const {
+  const std::lock_guard lock(m_mutex);
+  if (limit == Millis(0) || m_replica.State().is_primary) {
+    return TimePoint::max();
+  }
+  return m_primary_contact + limit;
+}
+
+ServerState EndpointServer::CurrentState() const {
+  auto state = m_replica.State();
+  state.instance = m_instance;
+  state.connections = static_cast<std::uint32_t>(m_connections.size());
+  state.primary_contact_age_ms =
+      static_cast<std::uint64_t>(ToMillis(Clock::now() - m_primary_contact).count());
+  return state;
+}
+
+std::optional<HttpResponse> EndpointServer::RefuseUnlessPrimary(Term term) const {
+  if (m_replica.IsPrimaryOf(term)) {
+    return std::nullopt;
+  }
+  return ErrorAnswer({ResultCode::kNotPrimary, "not primary of the term"}, m_replica.fenced());
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleState(const HttpRequest& request) {
+  const auto message = Decode<StateRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  const auto news = [&] {
+    const std::lock_guard lock(m_mutex);
+    const auto state = m_replica.State();
+    return state.held != message->seen_held || state.applied != message->seen_applied ||
+           state.fenced != message->seen_fenced;
+  };
+  const auto deadline = DeadlineFrom(message->wait_ms);
+  for (;;) {
+    const auto next = std::min(deadline, ContactLimitPassesAt(Millis(message->contact_limit_ms)));
+    if (message->wait_ms == 0 || co_await m_changed.WaitUntil(news, next)) {
+      break;
+    }
+    const auto now = Clock::now();
+    if (now >= deadline || now >= ContactLimitPassesAt(Millis(message->contact_limit_ms))) {
+      break;
+    }
+  }
+  const std::lock_guard lock(m_mutex);
+  co_return JsonAnswer(CurrentState());
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleRead(const HttpRequest& request) {
+  const auto message = Decode<ReadRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  const auto satisfied = [&] {
+    const std::lock_guard lock(m_mutex);
+    const auto applied = m_replica.AppliedPosition();
+    return applied.term >= message->need.term && applied.index >= message->need.index;
+  };
+  const auto deadline = DeadlineFrom(message->wait_ms);
+  if (!co_await m_changed.WaitUntil(satisfied, deadline)) {
+    const std::lock_guard lock(m_mutex);
+    co_return ErrorAnswer({ResultCode::kServerBehind, "the position is not applied"},
+                          m_replica.fenced(), m_replica.AppliedPosition());
+  }
+  if (!co_await TakeSlot(Clock::now() + kMaxWait)) {
+    co_return ErrorAnswer({ResultCode::kOverloaded, "no slot"});
+  }
+  co_await Serve();
+  GiveSlot();
+  const std::lock_guard lock(m_mutex);
+  if (message->as_primary_of != Term()) {
+    if (auto refused = RefuseUnlessPrimary(message->as_primary_of)) {
+      co_return *refused;
+    }
+  }
+  const auto applied = m_replica.AppliedPosition();
+  if (applied.term < message->need.term || applied.index < message->need.index) {
+    // The log was cut back to a new lineage while the read waited for a slot.
+    co_return ErrorAnswer({ResultCode::kServerBehind, "the position is not applied"},
+                          m_replica.fenced(), applied);
+  }
+  auto result = m_replica.Read(message->statement);
+  if (!result) {
+    co_return ErrorAnswer(result.error());
+  }
+  ++m_reads;
+  co_return JsonAnswer(ReadAnswer{std::move(*result), applied, m_options.endpoint});
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleWrite(const HttpRequest& request) {
+  const auto message = Decode<WriteRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  const auto deadline = DeadlineFrom(message->wait_ms == 0 ? 1000 : message->wait_ms);
+  if (!co_await TakeSlot(deadline)) {
+    co_return ErrorAnswer({ResultCode::kOverloaded, "no slot"});
+  }
+  co_await Serve();
+  if (!co_await TakeWriter(request.connection_id, deadline)) {
+    GiveSlot();
+    co_return ErrorAnswer({ResultCode::kOverloaded, "the writer is busy"});
+  }
+  HttpResponse response;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (auto refused = RefuseUnlessPrimary(message->term)) {
+      response = *refused;
+    } else {
+      const auto answer = m_replica.Write(*message);
+      response = answer ? JsonAnswer(*answer) : ErrorAnswer(answer.error());
+      ++m_writes;
+    }
+  }
+  GiveWriter();
+  GiveSlot();
+  m_changed.NotifyAll();
+  co_return Deliver(std::move(response));
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleKey(const HttpRequest& request) {
+  const auto message = Decode<KeyRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  const std::lock_guard lock(m_mutex);
+  if (auto refused = RefuseUnlessPrimary(message->term)) {
+    co_return *refused;
+  }
+  auto found = m_replica.FindKey(message->key).value_or(KeyAnswer{});
+  found.position = m_replica.AppliedPosition();
+  co_return JsonAnswer(found);
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleBegin(const HttpRequest& request) {
+  const auto message = Decode<TransactionRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  const auto deadline = DeadlineFrom(message->wait_ms);
+  if (!co_await TakeWriter(request.connection_id, deadline)) {
+    co_return ErrorAnswer({ResultCode::kOverloaded, "the writer is busy"});
+  }
+  std::optional<HttpResponse> refused;
+  ServerState state;
+  {
+    const std::lock_guard lock(m_mutex);
+    refused = RefuseUnlessPrimary(message->term);
+    if (!refused && !m_connections.contains(request.connection_id)) {
+      refused = ErrorAnswer({ResultCode::kTransport, "the connection closed"});
+    }
+    if (!refused) {
+      m_replica.BeginTransaction();
+      state = CurrentState();
+    }
+  }
+  if (refused) {
+    GiveWriter();
+    co_return *refused;
+  }
+  co_return JsonAnswer(state);
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleExecute(const HttpRequest& request) {
+  const auto message = Decode<TransactionRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  if (!co_await TakeSlot(DeadlineFrom(message->wait_ms))) {
+    co_return ErrorAnswer({ResultCode::kOverloaded, "no slot"});
+  }
+  co_await Serve();
+  GiveSlot();
+  const std::lock_guard lock(m_mutex);
+  if (!OwnsTransaction(request.connection_id)) {
+    co_return ErrorAnswer({ResultCode::kTransactionAborted, "no open transaction"});
+  }
+  const auto result = m_replica.ExecuteInTransaction(message->statement);
+  co_return result ? JsonAnswer(*result) : ErrorAnswer(result.error());
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleCommit(const HttpRequest& request) {
+  const auto message = Decode<WriteRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  HttpResponse response;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (!OwnsTransaction(request.connection_id)) {
+      co_return ErrorAnswer({ResultCode::kTransactionAborted, "no open transaction"});
+    }
+    const auto answer = m_replica.CommitTransaction(*message);
+    response = answer ? JsonAnswer(*answer) : ErrorAnswer(answer.error());
+    ++m_writes;
+  }
+  GiveWriter();
+  m_changed.NotifyAll();
+  co_return Deliver(std::move(response));
+}
+
+HttpResponse EndpointServer::HandleRollback(const HttpRequest& request) {
+  {
+    const std::lock_guard lock(m_mutex);
+    if (!OwnsTransaction(request.connection_id)) {
+      return ErrorAnswer({ResultCode::kTransactionAborted, "no open transaction"});
+    }
+    m_replica.RollbackTransaction();
+  }
+  GiveWriter();
+  return JsonAnswer(StatementResult{});
+}
+
+HttpResponse EndpointServer::HandleFence(const HttpRequest& request) {
+  const auto message = Decode<FenceRequest>(request.body);
+  if (!message) {
+    return ErrorAnswer(message.error());
+  }
+  HttpResponse response;
+  {
+    const std::lock_guard lock(m_mutex);
+    const bool had_transaction = m_replica.InTransaction();
+    const auto fenced = m_replica.Fence(message->term);
+    if (had_transaction && !m_replica.InTransaction()) {
+      m_writer_busy = false;
+      m_transaction_owner = 0;
+    }
+    if (fenced) {
+      ++m_pull_generation;
+    }
+    response =
+        fenced ? JsonAnswer(CurrentState()) : ErrorAnswer(fenced.error(), m_replica.fenced());
+  }
+  m_slot_free.NotifyAll();
+  m_changed.NotifyAll();
+  return response;
+}
+
+HttpResponse EndpointServer::HandlePromote(const HttpRequest& request) {
+  const auto message = Decode<PromoteRequest>(request.body);
+  if (!message) {
+    return ErrorAnswer(message.error());
+  }
+  HttpResponse response;
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto promoted = m_replica.Promote(*message);
+    if (promoted) {
+      ++m_pull_generation;
+    }
+    response =
+        promoted ? JsonAnswer(CurrentState()) : ErrorAnswer(promoted.error(), m_replica.fenced());
+  }
+  m_changed.NotifyAll();
+  return response;
+}
+
+HttpResponse EndpointServer::HandleFollow(const HttpRequest& request) {
+  const auto message = Decode<FollowRequest>(request.body);
+  if (!message) {
+    return ErrorAnswer(message.error());
+  }
+  const std::lock_guard lock(m_mutex);
+  const bool had_transaction = m_replica.InTransaction();
+  const bool same = m_replica.fenced() == message->term &&
+                    m_replica.primary_address() == message->address && !message->address.empty();
+  const auto followed = m_replica.Follow(*message);
+  if (!followed) {
+    return ErrorAnswer(followed.error(), m_replica.fenced());
+  }
+  if (had_transaction) {
+    m_writer_busy = false;
+    m_transaction_owner = 0;
+  }
+  if (!same || message->copy_until) {
+    StartPull(*message);
+  }
+  return JsonAnswer(CurrentState());
+}
+
+asio::awaitable<HttpResponse> EndpointServer::HandleLog(const HttpRequest& request) {
+  const auto message = Decode<LogRequest>(request.body);
+  if (!message) {
+    co_return ErrorAnswer(message.error());
+  }
+  const auto ready = [&] {
+    const std::lock_guard lock(m_mutex);
+    return m_replica.LastEntry().index != message->after.index ||
+           !m_replica.IsPrimaryOf(message->term);
+  };
+  co_await m_changed.WaitUntil(ready, DeadlineFrom(message->wait_ms));
+  const std::lock_guard lock(m_mutex);
+  const auto answer = m_replica.ReadLog(*message);
+  co_return answer ? JsonAnswer(*answer) : ErrorAnswer(answer.error(), m_replica.fenced());
+}
+
+HttpResponse EndpointServer::HandleFaults(const HttpRequest& request) {
+  const auto message = Decode<EndpointFaults>(request.body);
+  if (!message) {
+    return ErrorAnswer(message.error());
+  }
+  const std::lock_guard lock(m_mutex);
+  m_faults = *message;
+  return JsonAnswer(m_faults);
+}
+
+HttpResponse EndpointServer::HandleStatistics() {
+  const std::lock_guard lock(m_mutex);
+  HttpResponse response;
+  response.body =
+      boost::json::serialize(boost::json::value{{"requests", m_requests},
+                                                {"reads", m_reads},
+                                                {"writes", m_writes},
+                                                {"connections", m_connections.size()},
+                                                {"peak_connections", m_peak_connections},
+                                                {"refused_connections", m_refused_connections},
+                                                {"peak_waiting", m_peak_waiting_slots}});
+  return response;
+}
+
+void EndpointServer::StartPull(const FollowRequest& request) {
+  const auto generation = ++m_pull_generation;
+  Spawn(m_context, [this, request, generation] { return PullLoop(request, generation); });
+}
+
+asio::awaitable<void> EndpointServer::PullLoop(FollowRequest request, std::uint64_t generation) {
+  const auto peer = Address::Parse(request.address);
+  if (!peer) {
+    co_return;
+  }
+  const auto source = std::make_shared<ConnectionPool>(m_context, *peer, 1);
+  while (co_await PullOnce(request, generation, *source)) {
+  }
+}
+
+asio::awaitable<bool> EndpointServer::PullOnce(const FollowRequest& request,
+                                               std::uint64_t generation,
+                                               ConnectionPool& source) {
+  LogRequest pull{m_options.endpoint,
+                  request.term,
+                  {},
+                  kPullLimit,
+                  static_cast<std::uint32_t>(m_options.pull_wait.count())};
+  bool frozen = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (generation != m_pull_generation ||
+        (request.copy_until && m_replica.LastEntry() == *request.copy_until)) {
+      co_return false;
+    }
+    pull.after = m_replica.PullFrom();
+    frozen = m_faults.replication_frozen;
+  }
+  if (frozen) {
+    co_await Sleep(kPullRetryPause);
+    co_return true;
+  }
+  HttpRequest message{
+      "POST", "/v1/log", {{"Cardamom-From", m_options.endpoint.value()}}, Encode(pull)};
+  const auto response = co_await source.Send(std::move(message), Clock::now() + kPullTimeout);
+  if (!response || response->status != 200) {
+    co_await Sleep(kPullRetryPause);
+    co_return true;
+  }
+  const auto answer = Decode<LogAnswer>(response->body);
+  if (!answer) {
+    co_return false;
+  }
+  Millis lag;
+  LogIndex held;
+  bool changed = false;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (generation != m_pull_generation || m_faults.replication_frozen) {
+      co_return generation == m_pull_generation;
+    }
+    m_primary_contact = Clock::now();
+    changed = m_replica.TakeLog(request.term, pull.after, *answer, request.copy_until.has_value());
+    held = m_replica.LastEntry().index;
+    lag = Millis(m_faults.apply_lag_ms);
+    if (changed && lag == Millis(0)) {
+      m_replica.ApplyUpTo(held);
+    }
+  }
+  if (changed) {
+    m_changed.NotifyAll();
+    if (lag > Millis(0)) {
+      Spawn(m_context, [this, held, lag] { return ApplyLater(held, lag); });
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<void> EndpointServer::ApplyLater(LogIndex index, Millis lag) {
+  co_await Sleep(lag);
+  {
+    const std::lock_guard lock(m_mutex);
+    m_replica.ApplyUpTo(index);
+  }
+  m_changed.NotifyAll();
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/standin/json_answers.h
@@ -0,0 +1,24 @@
+// Answers of the stand-ins.
+#pragma once
+
+#include "cardamom/error.h"
+#include "core/json.h"
+#include "endpoint/endpoint_messages.h"
+#include "http/http_message.h"
+
+namespace cardamom {
+
+template <typename T>
+HttpResponse JsonAnswer(const T& message, int status = 200) {
+  HttpResponse response;
+  response.status = status;
+  response.body = Encode(message);
+  return response;
+}
+
+inline HttpResponse ErrorAnswer(const Error& error, Term term = {}, Position applied = {}) {
+  return JsonAnswer(ServerError{static_cast<int>(error.code), error.detail, term, applied},
+                    InfoOf(error.code).http_status);
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/tools/ctl/record_commands.h
@@ -0,0 +1,14 @@
+// Commands on records.
+#pragma once
+
+#include "tools/ctl/ctl_options.h"
+
+namespace cardamom {
+
+// Each returns the exit code of the program.
+int CheckRecord(const CtlOptions& options);
+int ChangeRecord(const CtlOptions& options);
+int ListRecords(const CtlOptions& options);
+int ShowRecord(const CtlOptions& options);
+
+}  // namespace cardamom
--- /dev/null
+++ b/tools/ctl/status_commands.cc
@@ -0,0 +1,112 @@
+#include "tools/ctl/status_commands.h"
+
+#include <fstream>
+#include <iostream>
+
+#include <fmt/format.h>
+
+#include "proxy/operations_api.h"
+#include "tools/ctl/operations_client.h"
+#include "tools/ctl/timeline_format.h"
+
+namespace cardamom {
+namespace {
+
+Outcome<ProxyStatus> FetchStatus(const CtlOptions& options) {
+  HttpRequest request;
+  request.target = "/v1/status";
+  const auto response = Ask(options, request, true);
+  if (!response) {
+    return response.error();
+  }
+  return Decode<ProxyStatus>(response->body);
+}
+
+void PrintStatus(const ProxyStatus& status) {
+  std::cout << fmt::format("vm {}  {}  revision {}  in progress {}  vms {}\n", status.vm.value(),
+                           status.ready ? "ready" : "not ready", status.revision.value(),
+                           status.in_progress, status.vms.size());
+  for (const auto& group : status.groups) {
+    std::cout << fmt::format("group {}  term {}  primary {}  committed {}  steward rank {}\n",
+                             group.group.value(), group.term.value(), group.primary.value(),
+                             group.committed.value(), group.steward_rank);
+    for (const auto& endpoint : group.endpoints) {
+      std::cout << fmt::format(
+          "  {:<12} {:<8} {:<8} {:<11} lineage {} held {} applied {} outstanding {}/{} "
+          "connections {}\n",
+          endpoint.endpoint.value(), endpoint.primary ? "primary" : "replica",
+          endpoint.leaving ? "leaving" : "serving",
+          endpoint.reachable ? "reachable" : "unreachable", endpoint.lineage.value(),
+          endpoint.held.value(), endpoint.applied.value(), endpoint.outstanding, endpoint.limit,
+          endpoint.connections);
+    }
+  }
+}
+
+// The operations addresses of every live proxy, as the first that answers lists them.
+std::vector<std::string> AllProxies(const CtlOptions& options) {
+  auto addresses = options.proxies;
+  const auto status = FetchStatus(options);
+  if (!status) {
+    return addresses;
+  }
+  for (const auto& vm : status->vms) {
+    const bool known =
+        std::find(addresses.begin(), addresses.end(), vm.operations_address) != addresses.end();
+    if (!known && !vm.operations_address.empty()) {
+      addresses.push_back(vm.operations_address);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace
+
+int ShowStatus(const CtlOptions& options) {
+  const auto status = FetchStatus(options);
+  if (!status) {
+    return ReportError(status.error());
+  }
+  if (options.format == "json") {
+    std::cout << Encode(*status) << "\n";
+  } else {
+    PrintStatus(*status);
+  }
+  return kExitOk;
+}
+
+int ShowTimeline(const CtlOptions& options) {
+  std::vector<Event> events;
+  std::size_t answered = 0;
+  for (const auto& address : AllProxies(options)) {
+    auto one = options;
+    one.proxies = {address};
+    HttpRequest request;
+    request.target = "/v1/events";
+    const auto response = Ask(one, request, true);
+    if (!response) {
+      std::cerr << address << ": " << response.error().detail << "\n";
+      continue;
+    }
+    const auto list = Decode<EventList>(response->body);
+    if (list) {
+      ++answered;
+      events.insert(events.end(), list->events.begin(), list->events.end());
+    }
+  }
+  if (answered == 0) {
+    return kExitUnavailable;
+  }
+  SortEvents(events);
+  const auto text = options.format == "html"    ? TimelineHtml(events)
+                    : options.format == "jsonl" ? TimelineJsonLines(events)
+                                                : TimelineText(events);
+  if (options.output.empty()) {
+    std::cout << text;
+  } else {
+    std::ofstream(options.output) << text;
+  }
+  return kExitOk;
+}
+
+}  // namespace cardamom
