Failover with real processes: leave a suspect primary's tail out when a majority can do without it

Cause: a primary cut off from its replicas but not from the steward was fenced and held the longest log, so the promotion chose it, or a copy from it, again and again (15,088 ms without writes in the test PrimaryCutFromReplicasButNotFromProxies). Ruled out: suspicion and fencing, both seen in the time line. Change: the suspect is fenced but its log counts only if no majority can be had without it; a failed question dates from when it was sent, and a steward polls the primary every 500 ms.

--- /dev/null
+++ b/bench/cluster/history.cc
@@ -0,0 +1,150 @@
+#include "bench/cluster/history.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace cardamom {
+namespace {
+
+using Violations = std::vector<std::string>;
+
+void CheckFinal(const std::vector<WriteRecord>& writes,
+                const std::map<std::string, int>& final_state,
+                Violations& violations) {
+  for (const auto& write : writes) {
+    const auto found = final_state.find(write.id);
+    const int count = found == final_state.end() ? 0 : found->second;
+    if (write.fate == Fate::kAcknowledged && count == 0) {
+      violations.push_back(fmt::format("lost: {} was acknowledged", write.id));
+    }
+    if (write.fate == Fate::kNotRun && count > 0) {
+      violations.push_back(fmt::format("ran: {} was refused as not run", write.id));
+    }
+  }
+  for (const auto& [id, count] : final_state) {
+    if (count > 1) {
+      violations.push_back(fmt::format("doubled: {} stands {} times", id, count));
+    }
+  }
+}
+
+// Whether a read that started at `start` has to see the write.
+bool MustSee(const WriteRecord& write, const ReadRecord& read) {
+  if (write.fate != Fate::kAcknowledged) {
+    return false;
+  }
+  const bool own = write.session == read.session && write.end <= read.start;
+  const bool old = read.age && write.end + *read.age < read.start;
+  return own || old;
+}
+
+void CheckReads(const std::vector<WriteRecord>& writes,
+                const std::vector<ReadRecord>& reads,
+                Violations& violations) {
+  for (const auto& read : reads) {
+    for (const auto& write : writes) {
+      const bool seen = read.seen.contains(write.id);
+      if (!seen && MustSee(write, read)) {
+        violations.push_back(fmt::format(
+            "stale: session {} misses {} of session {}, acknowledged {} ms before its read",
+            read.session, write.id, write.session, ToMillis(read.start - write.end).count()));
+      }
+      if (seen && write.fate == Fate::kNotRun) {
+        violations.push_back(fmt::format("ran: a read shows {}, refused as not run", write.id));
+      }
+    }
+  }
+}
+
+void CheckSessionOrder(std::vector<ReadRecord> reads, Violations& violations) {
+  std::stable_sort(reads.begin(), reads.end(),
+                   [](const auto& a, const auto& b) { return a.start < b.start; });
+  std::map<int, const ReadRecord*> last;
+  for (const auto& read : reads) {
+    const auto*& before = last[read.session];
+    if (before != nullptr) {
+      for (const auto& [id, count] : before->seen) {
+        if (!read.seen.contains(id)) {
+          violations.push_back(
+              fmt::format("back: session {} saw {} and then no more", read.session, id));
+        }
+      }
+    }
+    before = &read;
+  }
+}
+
+// Whatever any read showed has to be there in the end: nothing seen is taken back.
+void CheckTakenBack(const std::vector<ReadRecord>& reads,
+                    const std::map<std::string, int>& final_state,
+                    Violations& violations) {
+  for (const auto& read : reads) {
+    for (const auto& [id, count] : read.seen) {
+      if (!final_state.contains(id)) {
+        violations.push_back(fmt::format("taken back: {} was read and is gone", id));
+      }
+    }
+  }
+}
+
+}  // namespace
+
+void History::Add(WriteRecord write) {
+  const std::lock_guard lock(m_mutex);
+  m_writes.push_back(std::move(write));
+}
+
+void History::Add(ReadRecord read) {
+  const std::lock_guard lock(m_mutex);
+  m_reads.push_back(std::move(read));
+}
+
+std::vector<std::string> History::Violations(
+    const std::map<std::string, int>& final_state) const {
+  const std::lock_guard lock(m_mutex);
+  std::vector<std::string> violations;
+  CheckFinal(m_writes, final_state, violations);
+  CheckReads(m_writes, m_reads, violations);
+  CheckSessionOrder(m_reads, violations);
+  CheckTakenBack(m_reads, final_state, violations);
+  return violations;
+}
+
+std::vector<WriteRecord> History::writes() const {
+  const std::lock_guard lock(m_mutex);
+  return m_writes;
+}
+
+std::vector<ReadRecord> History::reads() const {
+  const std::lock_guard lock(m_mutex);
+  return m_reads;
+}
+
+std::size_t History::Count(Fate fate) const {
+  const std::lock_guard lock(m_mutex);
+  return static_cast<std::size_t>(
+      std::count_if(m_writes.begin(), m_writes.end(),
+                    [fate](const WriteRecord& write) { return write.fate == fate; }));
+}
+
+Millis History::LongestGap(TimePoint since) const {
+  std::vector<TimePoint> ends = {since};
+  {
+    const std::lock_guard lock(m_mutex);
+    for (const auto& write : m_writes) {
+      if (write.fate == Fate::kAcknowledged && write.end > since) {
+        ends.push_back(write.end);
+      }
+    }
+  }
+  std::sort(ends.begin(), ends.end());
+  Duration longest{};
+  for (std::size_t i = 1; i < ends.size(); ++i) {
+    longest = std::max(longest, ends[i] - ends[i - 1]);
+  }
+  return ToMillis(longest);
+}
+
+}  // namespace cardamom
--- a/src/failover/promotion_plan.cc
+++ b/src/failover/promotion_plan.cc
@@ -18,8 +18,10 @@
 
 }  // namespace
 
-PromotionPlan::PromotionPlan(PromotionTask task, std::vector<EndpointId> eligible)
-    : m_task(std::move(task)), m_eligible(std::move(eligible)) {}
+PromotionPlan::PromotionPlan(PromotionTask task,
+                             std::vector<EndpointId> eligible,
+                             std::optional<EndpointId> suspect)
+    : m_task(std::move(task)), m_eligible(std::move(eligible)), m_suspect(std::move(suspect)) {}
 
 std::vector<EndpointId> PromotionPlan::Targets() const {
   std::set<EndpointId> targets(m_task.allocation.voters.begin(), m_task.allocation.voters.end());
@@ -47,17 +49,32 @@
   m_fenced[endpoint] = last;
 }
 
-bool PromotionPlan::IsFenced() const {
-  const auto contains = [&](const EndpointId& id) { return m_fenced.contains(id); };
+bool PromotionPlan::HasMajorities(const Fenced& fenced) const {
+  const auto contains = [&](const EndpointId& id) { return fenced.contains(id); };
   return HasMajority(m_task.allocation.voters, contains) &&
          std::all_of(m_task.sets.begin(), m_task.sets.end(),
                      [&](const auto& set) { return HasMajority(set, contains); });
 }
 
+bool PromotionPlan::IsFenced() const {
+  return HasMajorities(m_fenced);
+}
+
+PromotionPlan::Fenced PromotionPlan::Counted() const {
+  if (m_suspect) {
+    auto others = m_fenced;
+    others.erase(*m_suspect);
+    if (HasMajorities(others)) {
+      return others;
+    }
+  }
+  return m_fenced;
+}
+
 Position PromotionPlan::Best() const {
-  assert(!m_fenced.empty());
+  assert(IsFenced());
   Position best;
-  for (const auto& [id, last] : m_fenced) {
+  for (const auto& [id, last] : Counted()) {
     best = std::max(best, last);
   }
   return best;
@@ -65,18 +82,20 @@
 
 EndpointId PromotionPlan::Source() const {
   const auto best = Best();
-  const auto it = std::find_if(m_fenced.begin(), m_fenced.end(),
+  const auto counted = Counted();
+  const auto it = std::find_if(counted.begin(), counted.end(),
                                [&](const auto& item) { return item.second == best; });
   return it->first;
 }
 
 std::optional<EndpointId> PromotionPlan::Candidate() const {
   const auto best = Best();
+  const auto counted = Counted();
+  const auto& voters = m_task.allocation.voters;
   std::optional<EndpointId> behind;
   for (const auto& id : m_eligible) {
-    const auto& voters = m_task.allocation.voters;
-    const auto fenced = m_fenced.find(id);
-    if (fenced == m_fenced.end() || std::find(voters.begin(), voters.end(), id) == voters.end()) {
+    const auto fenced = counted.find(id);
+    if (fenced == counted.end() || std::find(voters.begin(), voters.end(), id) == voters.end()) {
       continue;
     }
     if (fenced->second == best) {
--- a/src/failover/promotion_plan.h
+++ b/src/failover/promotion_plan.h
@@ -12,8 +12,13 @@
 // Pure. Not thread safe.
 class PromotionPlan {
  public:
-  // `eligible` are the endpoints that may become primary, the preferred one first.
-  PromotionPlan(PromotionTask task, std::vector<EndpointId> eligible);
+  // `eligible` are the endpoints that may become primary, the preferred one first. `suspect`, if
+  // any, is the primary that failed: it is fenced, but its log counts only if no majority can be
+  // had without it. What it alone holds was never acknowledged, and it may be out of reach of the
+  // others.
+  PromotionPlan(PromotionTask task,
+                std::vector<EndpointId> eligible,
+                std::optional<EndpointId> suspect = std::nullopt);
 
   const TermAllocation& allocation() const { return m_task.allocation; }
 
@@ -30,7 +35,8 @@
   // A majority of every set, and of the new term's voters, is fenced.
   bool IsFenced() const;
 
-  // The greatest last entry among the fenced: where the new term starts. Precondition: IsFenced().
+  // The greatest last entry among the fenced that count: where the new term starts. Precondition:
+  // IsFenced().
   Position Best() const;
   // A server that holds Best(). Precondition: IsFenced().
   EndpointId Source() const;
@@ -38,9 +44,16 @@
   std::optional<EndpointId> Candidate() const;
 
  private:
+  using Fenced = std::map<EndpointId, Position>;
+
+  bool HasMajorities(const Fenced& fenced) const;
+  // The fenced servers whose logs count.
+  Fenced Counted() const;
+
   const PromotionTask m_task;
   const std::vector<EndpointId> m_eligible;
-  std::map<EndpointId, Position> m_fenced;
+  const std::optional<EndpointId> m_suspect;
+  Fenced m_fenced;
 };
 
 }  // namespace cardamom
--- a/src/proxy/group.cc
+++ b/src/proxy/group.cc
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr Millis kLongPoll{2000};
-constexpr Millis kLongPollMargin{500};
+// A steward notices the silence of a primary by a shorter poll.
+constexpr Millis kPrimaryPoll{500};
+constexpr Millis kLongPollMargin{300};
 constexpr Millis kQuestionTimeout{300};
 // Pause between two answers to a watch loop while nobody waits for news.
 constexpr Millis kActivePause{50};
@@ -230,14 +232,14 @@
   }
 }
 
-void Group::ObserveFailure(EndpointRuntime& endpoint, const Error& error) {
+void Group::ObserveFailure(EndpointRuntime& endpoint, const Error& error, TimePoint sent) {
   endpoint.refused = error.code == ResultCode::kConnectionRefused;
   bool was_reachable = false;
   {
     const std::lock_guard lock(m_mutex);
     const auto* server = m_view.Find(endpoint.spec.id);
     was_reachable = server == nullptr || server->reachable;
-    m_view.ObserveFailure(endpoint.spec.id, Clock::now());
+    m_view.ObserveFailure(endpoint.spec.id, sent);
   }
   if (was_reachable) {
     m_context.events.Emit(EventCode::kEndpointUnreachable,
@@ -306,7 +308,7 @@
     co_return false;
   }
   if (!state) {
-    ObserveFailure(*endpoint, state.error());
+    ObserveFailure(*endpoint, state.error(), sent);
     co_return false;
   }
   if (wait == Millis(0)) {
@@ -317,6 +319,12 @@
   co_return true;
 }
 
+Millis Group::PollTimeOf(const EndpointId& endpoint) const {
+  const bool is_primary =
+      WithView([&](const GroupView& view) { return view.primary() == endpoint; });
+  return is_primary && m_watched ? kPrimaryPoll : kLongPoll;
+}
+
 void Group::Watch(const std::shared_ptr<EndpointRuntime>& endpoint) {
   Spawn(m_context.io, [self = shared_from_this(), endpoint]() -> asio::awaitable<void> {
     co_await self->WatchLoop(endpoint);
@@ -329,7 +337,7 @@
   while (!endpoint->dropped) {
     const auto seen_pokes = m_pokes.load();
     const bool answered = co_await Ask(endpoint, wait);
-    wait = answered && IsActive() ? kLongPoll : Millis(0);
+    wait = answered && IsActive() ? PollTimeOf(endpoint->spec.id) : Millis(0);
     bool commit_waits = false;
     {
       const std::lock_guard lock(m_mutex);
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -83,7 +83,8 @@
   // Takes evidence from the data path.
   void ObserveState(const ServerState& state, TimePoint sent);
   void ObserveHeld(const EndpointId& endpoint, Position position);
-  void ObserveFailure(EndpointRuntime& endpoint, const Error& error);
+  // `sent` is when the request that failed was sent.
+  void ObserveFailure(EndpointRuntime& endpoint, const Error& error, TimePoint sent);
   void HearOfTerm(Term term);
 
   // Makes every WaitFor evaluate its predicate again.
@@ -108,6 +109,7 @@
   // Requires nothing. One state question.
   asio::awaitable<bool> Ask(std::shared_ptr<EndpointRuntime> endpoint, Millis wait);
   bool IsActive() const;
+  Millis PollTimeOf(const EndpointId& endpoint) const;
 
   ProxyContext& m_context;
   const GroupId m_id;
--- a/src/proxy/peer_api.cc
+++ b/src/proxy/peer_api.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view kPrefix = "/peer";
+constexpr Millis kRecent{1000};
 constexpr std::string_view kReachPrefix = "/peer/v1/reach/";
 
 bool HasKey(const HttpRequest& request, const std::string& key) {
@@ -52,7 +53,9 @@
     answer.term = view.term();
     const auto primary = view.primary();
     const auto* server = primary ? view.Find(*primary) : nullptr;
-    answer.known = server != nullptr;
+    // Old knowledge is no evidence either way.
+    answer.known =
+        server != nullptr && (server->failing_since || Clock::now() - server->received < kRecent);
     if (server != nullptr && server->failing_since) {
       answer.failing_ms =
           std::max<std::int64_t>(1, ToMillis(Clock::now() - *server->failing_since).count());
--- a/src/proxy/read_service.cc
+++ b/src/proxy/read_service.cc
@@ -124,12 +124,13 @@
   if (choice.is_primary) {
     request.as_primary_of = group.WithView([](const GroupView& view) { return view.term(); });
   }
-  const auto sent = Clock::now();
+  const auto sent_at = Clock::now();
   const auto timeout = Millis(m_context.settings.attempt_timeout_ms);
-  const auto answer = co_await endpoint->client->Read(request, std::min(deadline, sent + timeout));
+  const auto answer =
+      co_await endpoint->client->Read(request, std::min(deadline, sent_at + timeout));
   if (!answer) {
     if (IsConnectionFailure(answer.error())) {
-      group.ObserveFailure(*endpoint, answer.error());
+      group.ObserveFailure(*endpoint, answer.error(), sent_at);
     } else if (answer.error().code == ResultCode::kOverloaded) {
       pass->Overloaded();
     }
@@ -139,7 +140,7 @@
   group.ObserveHeld(choice.endpoint, answer->position);
   const ReadReceipt receipt{answer->result, answer->position, choice.endpoint, !choice.is_primary};
   // A replica's age was proved by the needed position; a primary's by its being primary still.
-  const auto fresh_since = choice.is_primary ? sent - age : TimePoint::min();
+  const auto fresh_since = choice.is_primary ? sent_at - age : TimePoint::min();
   if (!co_await Release(group, receipt, fresh_since, deadline)) {
     co_return Error{ResultCode::kServerBehind, "what the read saw was not confirmed"};
   }
--- a/src/proxy/steward.cc
+++ b/src/proxy/steward.cc
@@ -171,7 +171,12 @@
       JudgePrimary(GatherNow(), m_options) == Suspicion::kNone) {
     co_return;
   }
-  if (co_await Promote(Reason::kFailure, EligibleAfterFailure(suspicion))) {
+  auto eligible = EligibleAfterFailure(suspicion);
+  std::optional<EndpointId> suspect;
+  if (suspicion != Suspicion::kAbandonedPromotion) {
+    suspect = m_group->WithView([](const GroupView& view) { return view.primary(); });
+  }
+  if (co_await Promote(Reason::kFailure, std::move(eligible), std::move(suspect))) {
     m_suspected_since.reset();
   }
   m_next_promotion = Clock::now() + kPromotionPause;
@@ -406,12 +411,14 @@
   co_return std::nullopt;
 }
 
-asio::awaitable<bool> Steward::Promote(Reason reason, std::vector<EndpointId> eligible) {
+asio::awaitable<bool> Steward::Promote(Reason reason,
+                                       std::vector<EndpointId> eligible,
+                                       std::optional<EndpointId> suspect) {
   auto task = co_await TakeTerm(reason);
   if (!task) {
     co_return false;
   }
-  PromotionPlan plan(std::move(*task), std::move(eligible));
+  PromotionPlan plan(std::move(*task), std::move(eligible), std::move(suspect));
   const auto give_up = [&](const char* why) {
     m_context.events.Emit(EventCode::kPromotionFailed,
                           {.group = m_group->id(), .term = plan.allocation().term, .detail = why});
--- a/src/proxy/steward.h
+++ b/src/proxy/steward.h
@@ -46,7 +46,9 @@
   asio::awaitable<void> FollowRecord();
   bool NewVotersCaughtUp(const std::vector<EndpointId>& voters) const;
 
-  asio::awaitable<bool> Promote(Reason reason, std::vector<EndpointId> eligible);
+  asio::awaitable<bool> Promote(Reason reason,
+                                std::vector<EndpointId> eligible,
+                                std::optional<EndpointId> suspect = std::nullopt);
   asio::awaitable<std::optional<PromotionTask>> TakeTerm(Reason reason);
   asio::awaitable<bool> Fence(PromotionPlan& plan);
   asio::awaitable<bool> CopyLog(const PromotionPlan& plan, const EndpointId& candidate);
--- a/src/proxy/transaction_service.cc
+++ b/src/proxy/transaction_service.cc
@@ -26,8 +26,9 @@
     request.term = primary->term;
     request.wait_ms = WaitUntil(deadline);
     const auto timeout = Millis(m_context.settings.attempt_timeout_ms);
-    auto begun = co_await primary->endpoint->client->Begin(
-        std::move(request), std::min(deadline, Clock::now() + timeout));
+    const auto sent_at = Clock::now();
+    auto begun = co_await primary->endpoint->client->Begin(std::move(request),
+                                                           std::min(deadline, sent_at + timeout));
     if (begun) {
       const auto id = NewTransactionId(VmId(m_context.settings.vm_id));
       auto entry = std::make_shared<Entry>();
@@ -44,7 +45,7 @@
       least = Term(primary->term.value() + 1);
     }
     if (IsConnectionFailure(begun.error())) {
-      group->ObserveFailure(*primary->endpoint, begun.error());
+      group->ObserveFailure(*primary->endpoint, begun.error(), sent_at);
     }
     const auto next = DecideRetry(begun.error(), {true, deadline, Clock::now()});
     if (next == AfterAttempt::kReport || !group->TryRetry()) {
--- a/src/proxy/write_service.cc
+++ b/src/proxy/write_service.cc
@@ -90,7 +90,8 @@
   auto sent = request;
   sent.term = primary->term;
   const auto timeout = Millis(m_context.settings.attempt_timeout_ms);
-  const auto attempt_deadline = std::min(deadline, Clock::now() + timeout);
+  const auto sent_at = Clock::now();
+  const auto attempt_deadline = std::min(deadline, sent_at + timeout);
   sent.wait_ms = static_cast<std::uint32_t>(
       std::max<std::int64_t>(1, ToMillis(attempt_deadline - Clock::now()).count()));
   const auto answer =
@@ -102,7 +103,7 @@
       progress.least = Term(primary->term.value() + 1);
       co_await group.Refresh();
     } else if (IsConnectionFailure(error)) {
-      group.ObserveFailure(*primary->endpoint, error);
+      group.ObserveFailure(*primary->endpoint, error, sent_at);
     } else if (error.code == ResultCode::kOverloaded) {
       pass->Overloaded();
     }
