--- a/src/group/group_view.cc
+++ b/src/group/group_view.cc
@@ -31,6 +31,7 @@
   auto& server = m_servers[state.endpoint];
   server.reachable = true;
   server.failing_since.reset();
+  server.refused = false;
   server.received = received;
   if (state.fenced <= m_term && (!server.unfenced || sent > *server.unfenced)) {
     server.unfenced = sent;
@@ -69,11 +70,12 @@
   }
 }
 
-void GroupView::ObserveFailure(const EndpointId& endpoint, TimePoint now) {
+void GroupView::ObserveFailure(const EndpointId& endpoint, TimePoint sent, bool refused) {
   auto& server = m_servers[endpoint];
   server.reachable = false;
+  server.refused = refused;
   if (!server.failing_since) {
-    server.failing_since = now;
+    server.failing_since = sent;
   }
 }
 
--- a/src/group/group_view.h
+++ b/src/group/group_view.h
@@ -28,14 +28,16 @@
     bool reachable = false;
     // First of the failures since the last answer.
     std::optional<TimePoint> failing_since;
+    // The last failure was a refused connection: nothing listens there.
+    bool refused = false;
   };
 
   // Takes what a server said in answer to a question sent at `sent`. Returns whether a greater term
   // was learned.
   bool Observe(const ServerState& state, TimePoint sent, TimePoint received);
 
-  // Notes that a question to `endpoint` failed.
-  void ObserveFailure(const EndpointId& endpoint, TimePoint now);
+  // Notes that a question to `endpoint`, sent at `sent`, failed; `refused` if nothing listens there.
+  void ObserveFailure(const EndpointId& endpoint, TimePoint sent, bool refused);
 
   // Notes that `endpoint` holds `position`, as an answer of its own showed.
   void ObserveHeld(const EndpointId& endpoint, Position position);
--- a/src/proxy/group.cc
+++ b/src/proxy/group.cc
@@ -17,6 +17,7 @@
 constexpr Millis kActivePause{50};
 constexpr Millis kIdlePause{5000};
 constexpr Millis kFailurePause{50};
+constexpr Millis kPromotionPause{5};
 constexpr Millis kActiveFor{5000};
 constexpr double kRetryRatio = 0.2;
 constexpr double kRetryReserve = 50;
@@ -233,13 +234,13 @@
 }
 
 void Group::ObserveFailure(EndpointRuntime& endpoint, const Error& error, TimePoint sent) {
-  endpoint.refused = error.code == ResultCode::kConnectionRefused;
+  const bool refused = error.code == ResultCode::kConnectionRefused;
   bool was_reachable = false;
   {
     const std::lock_guard lock(m_mutex);
     const auto* server = m_view.Find(endpoint.spec.id);
     was_reachable = server == nullptr || server->reachable;
-    m_view.ObserveFailure(endpoint.spec.id, sent);
+    m_view.ObserveFailure(endpoint.spec.id, sent, refused);
   }
   if (was_reachable) {
     m_context.events.Emit(EventCode::kEndpointUnreachable,
@@ -314,7 +315,6 @@
   if (wait == Millis(0)) {
     endpoint->round_trip = (Clock::now() - sent).count();
   }
-  endpoint->refused = false;
   ObserveState(*state, sent);
   co_return true;
 }
@@ -339,9 +339,11 @@
     const bool answered = co_await Ask(endpoint, wait);
     wait = answered && IsActive() ? PollTimeOf(endpoint->spec.id) : Millis(0);
     bool commit_waits = false;
+    bool promotion_under_way = false;
     {
       const std::lock_guard lock(m_mutex);
       commit_waits = !m_commit_waits.empty();
+      promotion_under_way = m_view.heard_term() > m_view.term();
     }
     if (answered && commit_waits) {
       continue;
@@ -349,6 +351,8 @@
     Millis pause = IsActive() ? kActivePause : kIdlePause;
     if (!answered) {
       pause = kFailurePause;
+    } else if (promotion_under_way) {
+      pause = kPromotionPause;
     }
     const auto ends = [this, seen_pokes, &endpoint, answered] {
       return (answered && m_pokes != seen_pokes) || endpoint->dropped;
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -27,8 +27,6 @@
   std::shared_ptr<EndpointGate> gate;
   std::atomic<Duration::rep> round_trip{0};
   std::atomic<bool> dropped{false};
-  // The last failure was a refused connection: nothing listens there.
-  std::atomic<bool> refused{false};
 };
 
 // Thread safe. m_mutex is taken after no other lock; hooks run under it take none.
--- a/src/proxy/steward.cc
+++ b/src/proxy/steward.cc
@@ -112,6 +112,7 @@
     if (voter == primary) {
       if (server->failing_since) {
         evidence.failing = now - *server->failing_since;
+        evidence.refused = server->refused;
       }
       continue;
     }
@@ -183,11 +184,7 @@
 }
 
 PrimaryEvidence Steward::GatherNow() const {
-  auto evidence = m_group->WithView([this](const GroupView& view) { return Gather(view); });
-  const auto primary = m_group->WithView([](const GroupView& view) { return view.primary(); });
-  const auto runtime = primary ? m_group->Find(*primary) : nullptr;
-  evidence.refused = runtime != nullptr && runtime->refused;
-  return evidence;
+  return m_group->WithView([this](const GroupView& view) { return Gather(view); });
 }
 
 std::vector<EndpointId> Steward::EligibleAfterFailure(Suspicion suspicion) const {
--- a/src/proxy/steward.h
+++ b/src/proxy/steward.h
@@ -58,7 +58,7 @@
   asio::awaitable<void> UpdateRow(std::size_t rank);
 
   PrimaryEvidence Gather(const GroupView& view) const;
-  // Gather for the present view, with what the adapters know.
+  // Gather for the present view.
   PrimaryEvidence GatherNow() const;
   std::vector<EndpointId> EligibleAfterFailure(Suspicion suspicion) const;
   std::vector<EndpointId> Reachable() const;
--- a/src/proxy/write_service.cc
+++ b/src/proxy/write_service.cc
@@ -69,8 +69,13 @@
     }
     m_context.metrics.CountRetry(InfoOf(error.code).name.data());
     if (next == AfterAttempt::kRetry) {
-      co_await Sleep(PauseAfter(progress.attempts));
-      co_await group.Refresh();
+      // News of another primary ends the pause.
+      const auto term = group.WithView([](const GroupView& view) { return view.term(); });
+      const auto replaced = [term](const GroupView& view) { return view.term() > term; };
+      const auto pause_ends = std::min(deadline, Clock::now() + PauseAfter(progress.attempts));
+      if (!co_await group.WaitFor(replaced, pause_ends)) {
+        co_await group.Refresh();
+      }
     }
   }
 }
