--- a/src/proxy/group.cc
+++ b/src/proxy/group.cc
@@ -391,8 +391,12 @@
       self->m_changed.NotifyAll();
     });
   }
-  const auto all_answered = [&left] { return *left == 0; };
-  co_await m_changed.WaitUntil(all_answered, Clock::now() + kQuestionTimeout);
+  // One endpoint that is stuck must not hold up those who wait for the others.
+  const auto may_miss = endpoints.size() - MajorityOf(endpoints.size());
+  const auto majority_answered = [&left, may_miss] { return *left <= may_miss; };
+  if (!endpoints.empty()) {
+    co_await m_changed.WaitUntil(majority_answered, Clock::now() + kQuestionTimeout);
+  }
   {
     const std::lock_guard lock(m_mutex);
     m_refreshing = false;
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -75,7 +75,8 @@
   // Age of the oldest write that waits for its commit.
   Duration OldestCommitWait() const;
 
-  // Asks every endpoint for its state once, now; concurrent calls share a round.
+  // Asks every endpoint for its state once, now, and waits until a majority of them has answered;
+  // concurrent calls share a round.
   asio::awaitable<void> Refresh();
 
   // Takes evidence from the data path.
--- a/src/proxy/steward.cc
+++ b/src/proxy/steward.cc
@@ -167,6 +167,7 @@
   if (now - *m_suspected_since < rank * step || now < m_next_promotion) {
     co_return;
   }
+  // A promotion stops the primary; ask the voters once more before.
   co_await m_group->Refresh();
   if (suspicion != Suspicion::kUnreachable &&
       JudgePrimary(GatherNow(), m_options) == Suspicion::kNone) {
@@ -244,7 +245,7 @@
     co_await UpdateRow(rank);
   }
   if (rank == 0) {
-    co_await SpreadTerm();
+    SpreadTerm();
     co_await FollowRecord();
   }
 }
@@ -291,10 +292,10 @@
       {.group = m_group->id(), .term = reserved, .detail = "rank " + std::to_string(rank)});
 }
 
-asio::awaitable<void> Steward::SpreadTerm() {
+void Steward::SpreadTerm() {
   const auto now = Clock::now();
   if (now < m_next_spread) {
-    co_return;
+    return;
   }
   m_next_spread = now + kSpreadInterval;
   Term term;
@@ -316,19 +317,21 @@
   });
   const auto source = primary ? m_group->Find(*primary) : nullptr;
   if (source == nullptr) {
-    co_return;
+    return;
   }
+  FollowRequest request;
+  request.term = term;
+  request.address = source->spec.address;
   for (const auto& id : stray) {
     if (const auto endpoint = m_group->Find(id)) {
-      const auto sent = Clock::now();
-      FollowRequest request;
-      request.term = term;
-      request.address = source->spec.address;
-      const auto state =
-          co_await endpoint->client->Follow(std::move(request), sent + kFollowTimeout);
-      if (state) {
-        m_group->ObserveState(*state, sent);
-      }
+      // Each on its own, so that a server that is stuck does not hold up the others.
+      Spawn(m_context.io, [group = m_group, endpoint, request]() -> asio::awaitable<void> {
+        const auto sent = Clock::now();
+        const auto state = co_await endpoint->client->Follow(request, sent + kFollowTimeout);
+        if (state) {
+          group->ObserveState(*state, sent);
+        }
+      });
     }
   }
 }
@@ -442,7 +445,7 @@
                                                      : "switchover";
   m_context.metrics.CountPromotion(label);
   m_next_spread = TimePoint();
-  co_await SpreadTerm();
+  SpreadTerm();
   m_group->Touch();
   co_return true;
 }
--- a/src/proxy/steward.h
+++ b/src/proxy/steward.h
@@ -54,7 +54,7 @@
   asio::awaitable<bool> CopyLog(const PromotionPlan& plan, const EndpointId& candidate);
   asio::awaitable<bool> Open(const PromotionPlan& plan, const EndpointId& candidate);
   // Makes every server follow the current primary.
-  asio::awaitable<void> SpreadTerm();
+  void SpreadTerm();
   asio::awaitable<void> UpdateRow(std::size_t rank);
 
   PrimaryEvidence Gather(const GroupView& view) const;
--- a/src/proxy/write_service.cc
+++ b/src/proxy/write_service.cc
@@ -54,6 +54,7 @@
   Progress progress;
   group.OnFirstAttempt();
   for (;;) {
+    const auto term = group.WithView([](const GroupView& view) { return view.term(); });
     auto result = co_await Attempt(group, request, progress, deadline);
     if (result) {
       co_return result;
@@ -70,7 +71,6 @@
     m_context.metrics.CountRetry(InfoOf(error.code).name.data());
     if (next == AfterAttempt::kRetry) {
       // News of another primary ends the pause.
-      const auto term = group.WithView([](const GroupView& view) { return view.term(); });
       const auto replaced = [term](const GroupView& view) { return view.term() > term; };
       const auto pause_ends = std::min(deadline, Clock::now() + PauseAfter(progress.attempts));
       if (!co_await group.WaitFor(replaced, pause_ends)) {
