--- a/bench/cluster/history.cc
+++ b/bench/cluster/history.cc
@@ -129,6 +129,17 @@
                     [fate](const WriteRecord& write) { return write.fate == fate; }));
 }
 
+std::map<std::string, int> History::Problems() const {
+  const std::lock_guard lock(m_mutex);
+  std::map<std::string, int> problems;
+  for (const auto& write : m_writes) {
+    if (write.fate != Fate::kAcknowledged) {
+      ++problems[write.problem];
+    }
+  }
+  return problems;
+}
+
 Millis History::LongestGap(TimePoint since) const {
   std::vector<TimePoint> ends = {since};
   {
--- a/bench/cluster/history.h
+++ b/bench/cluster/history.h
@@ -20,6 +20,8 @@
   TimePoint start;
   TimePoint end;
   Fate fate = Fate::kUnknown;
+  // What the caller was told, unless it was acknowledged.
+  std::string problem;
 };
 
 // One read of the whole table: how often each id stands in it.
@@ -47,6 +49,8 @@
   std::vector<WriteRecord> writes() const;
   std::vector<ReadRecord> reads() const;
   std::size_t Count(Fate fate) const;
+  // What callers were told instead of an acknowledgement, each text once, with its number.
+  std::map<std::string, int> Problems() const;
   // Longest time between the ends of two acknowledged writes that follow each other, from `since` on.
   Millis LongestGap(TimePoint since) const;
 
--- a/bench/cluster/workload.cc
+++ b/bench/cluster/workload.cc
@@ -76,6 +76,7 @@
     write.fate = written.ok()        ? Fate::kAcknowledged
                  : written.not_run() ? Fate::kNotRun
                                      : Fate::kUnknown;
+    write.problem = written.problem.title + ": " + written.problem.detail;
     m_history.Add(write);
 
     ReadRecord read;
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -31,13 +31,27 @@
   return change;
 }
 
-void ConfigState::Confirm(Revision revision, TimePoint now) {
-  m_heard = std::max(m_heard, revision);
-  m_confirmed = std::max(m_confirmed, now);
+void ConfigState::Hear(Revision revision, TimePoint now) {
+  if (revision > m_heard) {
+    if (m_heard <= m_snapshot.revision) {
+      m_behind_since = now;
+    }
+    m_heard = revision;
+  }
+}
+
+void ConfigState::Confirm(Revision revision, TimePoint at) {
+  Hear(revision, at);
+  m_confirmed = std::max(m_confirmed, at);
+}
+
+bool ConfigState::IsCurrent(TimePoint now, Duration limit) const {
+  const bool behind = m_heard > m_snapshot.revision;
+  return m_adopted && (!behind || now - m_behind_since <= limit);
 }
 
 bool ConfigState::IsFresh(TimePoint now, Duration limit) const {
-  return m_adopted && m_heard <= m_snapshot.revision && now - m_confirmed <= limit;
+  return IsCurrent(now, limit) && now - m_confirmed <= limit;
 }
 
 }  // namespace cardamom
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -43,8 +43,11 @@
   // understood leaves the group's last understood one in force.
   Change Adopt(const ConfigSnapshot& snapshot);
 
-  // Notes that the platform, or a peer that follows it, named `revision` as the newest at `now`.
-  void Confirm(Revision revision, TimePoint now);
+  // Notes that the platform, or a peer that follows it, named `revision` as the newest at `at`.
+  void Confirm(Revision revision, TimePoint at);
+
+  // Notes that `revision` exists.
+  void Hear(Revision revision, TimePoint now);
 
   Revision revision() const { return m_snapshot.revision; }
   // Greatest revision heard of.
@@ -52,8 +55,10 @@
   const ConfigSnapshot& snapshot() const { return m_snapshot; }
   const std::map<GroupId, GroupRecord>& records() const { return m_records; }
 
-  // Whether the configuration may be relied on: it was adopted, no greater one is known, and it was
-  // confirmed within `limit`.
+  // Whether a configuration was adopted and none greater has been known for longer than `limit`.
+  bool IsCurrent(TimePoint now, Duration limit) const;
+
+  // Whether the configuration may be relied on: it is current, and was confirmed within `limit`.
   bool IsFresh(TimePoint now, Duration limit) const;
 
  private:
@@ -61,6 +66,8 @@
   Revision m_heard;
   bool m_adopted = false;
   TimePoint m_confirmed;
+  // When a greater revision than the one in force was first heard of.
+  TimePoint m_behind_since;
   std::map<GroupId, GroupRecord> m_records;
 };
 
--- a/src/failover/term_row.cc
+++ b/src/failover/term_row.cc
@@ -37,6 +37,20 @@
   return task;
 }
 
+void TermRow::Abandon(Term term) {
+  if (term > complete) {
+    std::erase_if(allocations, [term](const TermAllocation& a) { return a.term == term; });
+  }
+}
+
+bool TermRow::HasVoterBeyond(const std::vector<EndpointId>& voters) const {
+  return std::any_of(allocations.begin(), allocations.end(), [&](const TermAllocation& a) {
+    return std::any_of(a.voters.begin(), a.voters.end(), [&](const EndpointId& id) {
+      return std::find(voters.begin(), voters.end(), id) == voters.end();
+    });
+  });
+}
+
 void TermRow::MarkComplete(Term term) {
   if (term <= complete || Find(term) == nullptr) {
     return;
--- a/src/failover/term_row.h
+++ b/src/failover/term_row.h
@@ -46,6 +46,12 @@
   // Notes that a majority of the voters of `term` holds its first entry. Never goes back.
   void MarkComplete(Term term);
 
+  // Takes back a term that its owner has not used and never will.
+  void Abandon(Term term);
+
+  // Whether a term that may still be used has a voter that `voters` does not name.
+  bool HasVoterBeyond(const std::vector<EndpointId>& voters) const;
+
   // The entry of `term`, if it is still kept.
   const TermAllocation* Find(Term term) const;
 };
--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -78,13 +78,14 @@
 bool ConfigFollower::IsReady() const {
   const std::lock_guard lock(m_mutex);
   const auto limit = Millis(m_context.settings.config_stale_ms);
-  if (m_state.IsFresh(Clock::now(), limit)) {
+  const auto now = Clock::now();
+  if (m_state.IsFresh(now, limit)) {
     return true;
   }
   // While the store is down nothing new can be accepted; what counts is to be in touch with peers,
   // who would know of a later revision.
   const auto met = static_cast<std::size_t>(std::count(m_meetings.begin(), m_meetings.end(), true));
-  return m_state.revision() != cardamom::Revision() && m_state.heard() <= m_state.revision() &&
+  return m_state.revision() != cardamom::Revision() && m_state.IsCurrent(now, limit) &&
          !m_meetings.empty() && 2 * met > m_meetings.size();
 }
 
@@ -97,7 +98,7 @@
   bool behind = false;
   {
     const std::lock_guard lock(m_mutex);
-    m_state.Confirm(revision, TimePoint());
+    m_state.Hear(revision, Clock::now());
     behind = m_state.heard() > m_state.revision();
   }
   if (behind) {
@@ -190,12 +191,12 @@
     co_return false;
   }
   Confirm(snapshot->revision, asked);
-  bool adopted_any = false;
+  bool in_force = false;
   {
     const std::lock_guard lock(m_mutex);
-    adopted_any = m_state.revision() == snapshot->revision && m_state.IsFresh(asked, Millis(0));
+    in_force = m_state.IsCurrent(asked, Millis(0)) && m_state.revision() == snapshot->revision;
   }
-  if (!adopted_any) {
+  if (!in_force) {
     co_return co_await FetchFromPlatform();
   }
   co_return true;
--- a/src/proxy/steward.cc
+++ b/src/proxy/steward.cc
@@ -25,6 +25,9 @@
 constexpr Millis kSpreadInterval{200};
 constexpr Millis kRowInterval{500};
 constexpr Millis kPromotionPause{100};
+constexpr Millis kRowCheckInterval{2000};
+// Time that the owner of a reserved term has to replace it after the record changed.
+constexpr Millis kHeldBackLimit{6000};
 // Entries by which a new voter may be behind when a planned change starts.
 constexpr std::uint64_t kCaughtUpEntries = 200;
 
@@ -265,25 +268,33 @@
   if (complete == Term() || (reservation_fits && row_fits) || now < m_next_row_update) {
     co_return;
   }
-  const auto& owner = m_owner;
+  if (!reservation_fits) {
+    m_reserved.reset();
+  }
+  const auto kept = reservation_fits ? m_reserved->allocation.term : Term();
   Term reserved;
   const auto row = co_await m_store.Change(
       [&](TermRow& current) {
         current.MarkComplete(complete);
-        // A reservation that a lost answer made is found again by its owner.
-        const auto own =
-            std::find_if(current.allocations.rbegin(), current.allocations.rend(),
-                         [&](const TermAllocation& allocation) {
-                           return allocation.owner == owner && allocation.term > complete &&
-                                  allocation.voters == voters && allocation.term > current.complete;
-                         });
-        const bool known = own != current.allocations.rend() && !m_used_terms.contains(own->term);
-        reserved = known ? own->term : current.Allocate(voters, owner).term;
+        // What this steward reserved before is not used any more, also if a lost answer hid it.
+        std::vector<Term> unused;
+        for (const auto& allocation : current.allocations) {
+          const auto term = allocation.term;
+          if (allocation.owner == m_owner && term != kept && !m_used_terms.contains(term)) {
+            unused.push_back(term);
+          }
+        }
+        for (const auto term : unused) {
+          current.Abandon(term);
+        }
+        if (kept == Term()) {
+          reserved = current.Allocate(voters, m_owner).term;
+        }
         return true;
       },
       now + kTableTimeout);
   m_next_row_update = Clock::now() + kRowInterval;
-  if (!row) {
+  if (!row || kept != Term()) {
     co_return;
   }
   m_reserved = row->TaskOf(reserved);
@@ -348,6 +359,25 @@
   });
 }
 
+asio::awaitable<bool> Steward::IsLeavingEndpointHeldBack() {
+  const auto record = m_group->record();
+  const auto voters = record.ServingIds();
+  const auto now = Clock::now();
+  if (voters.size() == record.endpoints.size() || now < m_next_row_check) {
+    co_return false;
+  }
+  m_next_row_check = now + kRowCheckInterval;
+  const auto row = co_await m_store.Refresh(now + kTableTimeout);
+  if (!row || !row->HasVoterBeyond(voters)) {
+    m_held_back_since.reset();
+    co_return false;
+  }
+  if (!m_held_back_since) {
+    m_held_back_since = now;
+  }
+  co_return now - *m_held_back_since >= kHeldBackLimit;
+}
+
 asio::awaitable<void> Steward::FollowRecord() {
   const auto voters = m_group->record().ServingIds();
   const auto current = m_group->WithView([](const GroupView& view) {
@@ -355,9 +385,12 @@
                                                                      : std::nullopt;
   });
   const auto primary = m_group->WithView([](const GroupView& view) { return view.primary(); });
-  if (!current ||
-      std::is_permutation(current->begin(), current->end(), voters.begin(), voters.end()) ||
-      Clock::now() < m_next_promotion || !NewVotersCaughtUp(voters)) {
+  if (!current || Clock::now() < m_next_promotion || !NewVotersCaughtUp(voters)) {
+    co_return;
+  }
+  const bool same_voters =
+      std::is_permutation(current->begin(), current->end(), voters.begin(), voters.end());
+  if (same_voters && !co_await IsLeavingEndpointHeldBack()) {
     co_return;
   }
   m_context.events.Emit(EventCode::kSwitchoverStarted, {.group = m_group->id()});
--- a/src/proxy/term_store.cc
+++ b/src/proxy/term_store.cc
@@ -51,6 +51,14 @@
   co_return seen;
 }
 
+asio::awaitable<Outcome<TermRow>> TermStore::Refresh(TimePoint deadline) {
+  auto seen = co_await Load(deadline);
+  if (!seen) {
+    co_return seen.error();
+  }
+  co_return seen->row;
+}
+
 asio::awaitable<Outcome<TermRow>> TermStore::Change(std::function<bool(TermRow&)> change,
                                                     TimePoint deadline) {
   for (;;) {
--- a/src/proxy/term_store.h
+++ b/src/proxy/term_store.h
@@ -24,6 +24,9 @@
   asio::awaitable<Outcome<TermRow>> Change(std::function<bool(TermRow&)> change,
                                            TimePoint deadline);
 
+  // Reads the row again. Errors: kPlatformUnavailable.
+  asio::awaitable<Outcome<TermRow>> Refresh(TimePoint deadline);
+
   // The row as last seen. Thread safe.
   TermRow cached() const;
 
--- /dev/null
+++ b/tests/process/config_test.cc
@@ -0,0 +1,173 @@
+// Accepted configuration is in force everywhere and never goes back, with real processes.
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "bench/cluster/cluster.h"
+#include "bench/cluster/session.h"
+
+namespace cardamom {
+namespace {
+
+// Stated target.
+constexpr Millis kInForceWithin{3000};
+constexpr Millis kPatience{10'000};
+
+class ConfigTest : public testing::Test {
+ protected:
+  ConfigTest() : m_cluster({.proxies = 6, .servers = 3, .domains = 2}) { m_cluster.AddGroup("g"); }
+
+  // Waits until every proxy has that revision, or a greater one.
+  bool Everywhere(std::uint64_t revision, Millis within) {
+    const auto deadline = Clock::now() + within;
+    for (std::size_t i = 0; i < m_cluster.proxies(); ++i) {
+      const auto left = std::max(Millis(1), ToMillis(deadline - Clock::now()));
+      if (!m_cluster.WaitForStatus(
+              i,
+              [revision](const ProxyStatus& status) {
+                return status.revision.value() >= revision;
+              },
+              left)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  RecordChangeMessage Replacement(std::uint64_t expected, std::uint32_t age) {
+    auto record = m_cluster.RecordOf("g");
+    record.max_read_age_ms = age;
+    RecordChangeMessage message;
+    message.action = "replace";
+    message.group = record.group;
+    message.expected = Revision(expected);
+    message.record = FormatRecord(record);
+    return message;
+  }
+
+  Cluster m_cluster;
+};
+
+TEST_F(ConfigTest, ChangesAreInForceEverywhere) {
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    ASSERT_EQ(m_cluster.Change(Replacement(i, 1000 + static_cast<std::uint32_t>(i)), i).status,
+              200);
+    EXPECT_TRUE(Everywhere(i + 1, kInForceWithin));
+  }
+}
+
+TEST_F(ConfigTest, OfRacingOperatorsOneWins) {
+  for (std::uint64_t round = 1; round <= 5; ++round) {
+    std::vector<int> statuses(4);
+    std::vector<std::thread> operators;
+    for (std::size_t i = 0; i < statuses.size(); ++i) {
+      operators.emplace_back([&, i] {
+        statuses[i] =
+            m_cluster.Change(Replacement(round, 2000 + static_cast<std::uint32_t>(i)), i).status;
+      });
+    }
+    for (auto& thread : operators) {
+      thread.join();
+    }
+    EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 200), 1);
+    EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 409), 3);
+  }
+}
+
+TEST_F(ConfigTest, LostAnswerOfAReplaceIsResolved) {
+  m_cluster.SetPlatformFaults(R"({"lose_answers":1})");
+  const auto response = m_cluster.Change(Replacement(1, 1234));
+  EXPECT_EQ(response.status, 200) << response.body;
+  EXPECT_EQ(Decode<RecordChangeAnswer>(response.body)->revision, Revision(2));
+  EXPECT_TRUE(Everywhere(2, kInForceWithin));
+}
+
+TEST_F(ConfigTest, StoreDownRightAfterAcceptance) {
+  // The store goes down as soon as one proxy has accepted; the others hear of it from their peers.
+  ASSERT_EQ(m_cluster.Change(Replacement(1, 1500), 0).status, 200);
+  ASSERT_TRUE(m_cluster.WaitForStatus(
+      0, [](const ProxyStatus& status) { return status.revision.value() == 2; }, kPatience));
+  m_cluster.SetPlatformFaults(R"({"outage":true})");
+  EXPECT_TRUE(Everywhere(2, kInForceWithin));
+  const auto refused = m_cluster.Change(Replacement(2, 1600), 1);
+  EXPECT_EQ(refused.status, InfoOf(ResultCode::kPlatformUnavailable).http_status);
+  EXPECT_EQ(Decode<Problem>(refused.body)->ran, "no") << refused.body;
+  for (std::size_t i = 0; i < m_cluster.proxies(); ++i) {
+    EXPECT_TRUE(m_cluster.Status(i).ready) << i;
+  }
+}
+
+TEST_F(ConfigTest, UnknownSchemaKeepsTheLastUnderstoodRecord) {
+  // An operator's newer tool writes a schema that these proxies do not know, straight to the table.
+  StoredRecord stored;
+  stored.group = GroupId("g");
+  stored.revision = Revision(2);
+  stored.record = R"({"schema":9,"group":"g","shape":"new"})";
+  TableReadRequest read;
+  read.keys = {kRevisionKey, "record/g"};
+  const auto rows = Decode<TableReadAnswer>(
+      SendOnce(m_cluster.platform(), "POST", "/v1/table/read", Encode(read))->body);
+  TransactRequest change;
+  change.expect = {{kRevisionKey, rows->rows.at(0).version}, {"record/g", rows->rows.at(1).version}};
+  change.puts = {{kRevisionKey, Encode(RevisionRow{Revision(2), {}})},
+                 {"record/g", Encode(stored)}};
+  ASSERT_EQ(SendOnce(m_cluster.platform(), "POST", "/v1/table/transact", Encode(change))->status,
+            200);
+  ASSERT_TRUE(Everywhere(2, kInForceWithin));
+  Session session("g");
+  const auto reply = session.Write(m_cluster.proxy(3).callers, "CREATE TABLE t (a)");
+  EXPECT_TRUE(reply.ok()) << reply.body;
+}
+
+TEST_F(ConfigTest, BothSchemasLiveSideBySide) {
+  m_cluster.AddEndpoint("old", "old-a");
+  m_cluster.AddEndpoint("old", "old-b");
+  m_cluster.AddEndpoint("old", "old-c");
+  boost::json::array servers;
+  for (const char* id : {"old-a", "old-b", "old-c"}) {
+    servers.push_back({{"id", id}, {"address", m_cluster.endpoint(id).address.ToString()}});
+  }
+  RecordChangeMessage message;
+  message.action = "submit";
+  message.group = GroupId("old");
+  message.record = boost::json::serialize(boost::json::object{
+      {"schema", 1}, {"group", "old"}, {"servers", servers}, {"primary", "old-a"}});
+  ASSERT_EQ(m_cluster.Change(message).status, 200);
+  ASSERT_TRUE(Everywhere(2, kInForceWithin));
+  Session session("old");
+  EXPECT_TRUE(session.Write(m_cluster.proxy(1).callers, "CREATE TABLE t (a)").ok());
+  EXPECT_TRUE(session.Read(m_cluster.proxy(2).callers, "SELECT count(*) FROM t").ok());
+}
+
+TEST_F(ConfigTest, ProxyCutOffFromStoreAndPeersTurnsNotReady) {
+  m_cluster.SetPlatformFaults(R"({"cut":["vm0"]})");
+  for (std::size_t i = 1; i < m_cluster.proxies(); ++i) {
+    m_cluster.proxy(i).process->Freeze();
+  }
+  EXPECT_TRUE(m_cluster.WaitForStatus(
+      0, [](const ProxyStatus& status) { return !status.ready; }, Millis(15'000)));
+  Session session("g");
+  EXPECT_EQ(session.Read(m_cluster.proxy(0).callers, "SELECT 1").problem.code,
+            static_cast<int>(ResultCode::kNotReady));
+  for (std::size_t i = 1; i < m_cluster.proxies(); ++i) {
+    m_cluster.proxy(i).process->Thaw();
+  }
+  m_cluster.SetPlatformFaults("{}");
+  EXPECT_TRUE(m_cluster.WaitForStatus(
+      0, [](const ProxyStatus& status) { return status.ready; }, kPatience));
+}
+
+TEST_F(ConfigTest, ProxyStartedDuringAnOutageIsNotReadyWithoutAnyConfiguration) {
+  m_cluster.SetPlatformFaults(R"({"outage":true})");
+  auto& late = m_cluster.AddProxy("late");
+  const auto ready = SendOnce(late.operations, "GET", "/readyz", "");
+  EXPECT_EQ(ready->status, 503);
+  m_cluster.SetPlatformFaults("{}");
+  EXPECT_TRUE(m_cluster.WaitForStatus(
+      m_cluster.proxies() - 1,
+      [](const ProxyStatus& status) { return status.ready && status.revision.value() >= 1; },
+      kPatience));
+}
+
+}  // namespace
+}  // namespace cardamom
--- /dev/null
+++ b/tests/process/drain_test.cc
@@ -0,0 +1,203 @@
+// Endpoints and proxies leave without cutting anyone off, with real processes.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+#include "bench/cluster/workload.h"
+
+namespace cardamom {
+namespace {
+
+// Stated targets.
+constexpr Millis kNoNewWorkAfter{3000};
+constexpr Millis kSwitchoverGap{300};
+constexpr Millis kPatience{15'000};
+
+class DrainTest : public testing::Test {
+ protected:
+  DrainTest()
+      : m_cluster({.proxies = 3, .servers = 3, .proxy_flags = {"--stop-notice-ms", "200"}}) {
+    m_cluster.AddGroup("g");
+    CreateWorkloadTable(m_cluster, "g");
+  }
+
+  HttpResponse MarkLeaving(const std::string& id) {
+    auto record = m_cluster.RecordOf("g");
+    for (auto& endpoint : record.endpoints) {
+      endpoint.leaving = endpoint.leaving || endpoint.id.value() == id;
+    }
+    return m_cluster.Replace(record);
+  }
+
+  std::int64_t WorkDoneBy(const std::string& id) {
+    const auto statistics = m_cluster.EndpointStatistics(id);
+    return statistics.at("reads").as_int64() + statistics.at("writes").as_int64();
+  }
+
+  void ExpectNoErrorsAndNoViolations(Workload& workload, std::size_t proxy = 0) {
+    workload.Stop();
+    for (const auto& [problem, count] : workload.history().Problems()) {
+      ADD_FAILURE() << count << " times " << problem;
+    }
+    for (const auto& violation :
+         workload.history().Violations(FinalState(m_cluster, "g", proxy))) {
+      ADD_FAILURE() << violation;
+    }
+  }
+
+  // Marks `id` as leaving under load; its work must stop in time while that of the others goes on.
+  void Drain(const std::string& id) {
+    Workload workload(m_cluster, {});
+    ASSERT_TRUE(workload.WaitForWrites(20, kPatience));
+    const auto since = Clock::now();
+    ASSERT_EQ(MarkLeaving(id).status, 200);
+    std::this_thread::sleep_until(since + kNoNewWorkAfter);
+    const auto before = WorkDoneBy(id);
+    EXPECT_TRUE(workload.WaitForWrites(50, kPatience));
+    EXPECT_EQ(WorkDoneBy(id), before);
+    std::cout << "gap " << workload.history().LongestGap(since).count() << " ms\n";
+    EXPECT_LE(workload.history().LongestGap(since), kSwitchoverGap);
+    ExpectNoErrorsAndNoViolations(workload);
+  }
+
+  Cluster m_cluster;
+};
+
+TEST_F(DrainTest, LeavingReplica) {
+  const auto primary = m_cluster.PrimaryOf("g");
+  Drain(primary == "g-c" ? "g-b" : "g-c");
+}
+
+TEST_F(DrainTest, LeavingPrimary) {
+  const auto old = m_cluster.PrimaryOf("g");
+  Drain(old);
+  EXPECT_NE(m_cluster.PrimaryOf("g"), old);
+}
+
+TEST_F(DrainTest, LeavingPrimaryWhileStoreIsSlow) {
+  m_cluster.SetPlatformFaults(R"({"delay_ms":100})");
+  const auto old = m_cluster.PrimaryOf("g");
+  Drain(old);
+  EXPECT_NE(m_cluster.PrimaryOf("g"), old);
+}
+
+TEST_F(DrainTest, VoterCannotBeDroppedBeforeItLeft) {
+  auto record = m_cluster.RecordOf("g");
+  const auto primary = m_cluster.PrimaryOf("g");
+  std::erase_if(record.endpoints, [&](const auto& endpoint) {
+    return endpoint.id.value() != primary && endpoint.id.value() != "g-b";
+  });
+  EXPECT_EQ(m_cluster.Replace(record).status, InfoOf(ResultCode::kRecordInvalid).http_status);
+}
+
+TEST_F(DrainTest, RetiredEndpointCanBeDroppedAfterItLeft) {
+  const auto primary = m_cluster.PrimaryOf("g");
+  const std::string leaving = primary == "g-c" ? "g-b" : "g-c";
+  ASSERT_EQ(MarkLeaving(leaving).status, 200);
+  auto record = m_cluster.RecordOf("g");
+  std::erase_if(record.endpoints,
+                [&](const auto& endpoint) { return endpoint.id.value() == leaving; });
+  const auto deadline = Clock::now() + kPatience;
+  auto response = m_cluster.Replace(record);
+  while (response.status != 200 && Clock::now() < deadline) {
+    std::this_thread::sleep_for(Millis(50));
+    response = m_cluster.Replace(record);
+  }
+  EXPECT_EQ(response.status, 200) << response.body;
+}
+
+TEST_F(DrainTest, ReservationOfADeadProxyDoesNotHoldAnEndpointBack) {
+  // Every steward that may hold a reserved term dies with it; the survivor's clears the way.
+  const auto primary = m_cluster.PrimaryOf("g");
+  std::size_t survivor = 0;
+  for (std::size_t i = 0; i < m_cluster.proxies(); ++i) {
+    if (m_cluster.Status(i).groups.at(0).steward_rank == 2) {
+      survivor = i;
+    }
+  }
+  for (std::size_t i = 0; i < m_cluster.proxies(); ++i) {
+    if (i != survivor) {
+      m_cluster.proxy(i).process->Kill();
+    }
+  }
+  m_cluster.PublishVms();
+  auto record = m_cluster.RecordOf("g");
+  const std::string leaving = primary == "g-c" ? "g-b" : "g-c";
+  for (auto& endpoint : record.endpoints) {
+    endpoint.leaving = endpoint.id.value() == leaving;
+  }
+  ASSERT_EQ(m_cluster.Replace(record, survivor).status, 200);
+  std::erase_if(record.endpoints,
+                [&](const auto& endpoint) { return endpoint.id.value() == leaving; });
+  const auto deadline = Clock::now() + kPatience;
+  auto response = m_cluster.Replace(record, survivor);
+  while (response.status != 200 && Clock::now() < deadline) {
+    std::this_thread::sleep_for(Millis(50));
+    response = m_cluster.Replace(record, survivor);
+  }
+  EXPECT_EQ(response.status, 200) << response.body;
+}
+
+TEST_F(DrainTest, WithdrawDuringATransaction) {
+  Session session("g");
+  const auto id = session.Begin(m_cluster.proxy(0).callers);
+  ASSERT_FALSE(id.empty());
+  CallerStatement statement;
+  statement.sql = "INSERT INTO orders VALUES ('last')";
+  EXPECT_TRUE(session
+                  .Post(m_cluster.proxy(0).callers, "/v1/transactions/" + id + "/statements",
+                        Encode(statement))
+                  .ok());
+  RecordChangeMessage message;
+  message.action = "withdraw";
+  message.group = GroupId("g");
+  message.expected = Revision(1);
+  ASSERT_EQ(m_cluster.Change(message).status, 200);
+  ASSERT_TRUE(m_cluster.WaitForStatus(
+      0, [](const ProxyStatus& status) { return status.groups.empty(); }, kNoNewWorkAfter));
+  // New work is refused; the open transaction may finish.
+  Session late("g");
+  EXPECT_TRUE(late.Read(m_cluster.proxy(0).callers, "SELECT 1").not_run());
+  const auto commit = session.Post(m_cluster.proxy(0).callers,
+                                   "/v1/transactions/" + id + "/commit", "{}", "last");
+  EXPECT_TRUE(commit.ok() || commit.unknown()) << commit.body;
+}
+
+TEST_F(DrainTest, GracefulStopUnderLoadCutsNothing) {
+  Workload workload(m_cluster, {.sessions = 6});
+  ASSERT_TRUE(workload.WaitForWrites(30, kPatience));
+  Session session("g");
+  const auto id = session.Begin(m_cluster.proxy(2).callers);
+  ASSERT_FALSE(id.empty());
+  // The balancer stops sending callers to a proxy that is not ready.
+  m_cluster.proxy(2).process->Signal(SIGTERM);
+  workload.Avoid(2);
+  CallerStatement statement;
+  statement.sql = "INSERT INTO orders VALUES ('stopping')";
+  EXPECT_TRUE(session
+                  .Post(m_cluster.proxy(2).callers, "/v1/transactions/" + id + "/statements",
+                        Encode(statement))
+                  .ok());
+  EXPECT_FALSE(m_cluster.proxy(2).process->Wait(Millis(600)).has_value())
+      << "it stopped with a transaction open";
+  EXPECT_TRUE(session
+                  .Post(m_cluster.proxy(2).callers, "/v1/transactions/" + id + "/commit", "{}",
+                        "stopping")
+                  .ok());
+  EXPECT_EQ(m_cluster.proxy(2).process->Wait(kPatience), 0);
+  EXPECT_TRUE(workload.WaitForWrites(30, kPatience));
+  ExpectNoErrorsAndNoViolations(workload);
+}
+
+TEST_F(DrainTest, SecondSignalEndsAtOnce) {
+  Session session("g");
+  ASSERT_FALSE(session.Begin(m_cluster.proxy(2).callers).empty());
+  m_cluster.proxy(2).process->Signal(SIGTERM);
+  EXPECT_FALSE(m_cluster.proxy(2).process->Wait(Millis(500)).has_value());
+  m_cluster.proxy(2).process->Signal(SIGTERM);
+  EXPECT_EQ(m_cluster.proxy(2).process->Wait(Millis(2000)), 128 + SIGTERM);
+}
+
+}  // namespace
+}  // namespace cardamom
--- /dev/null
+++ b/tests/process/session_test.cc
@@ -0,0 +1,138 @@
+// Read-your-writes and stated ages through any proxy, with real processes.
+#include <gtest/gtest.h>
+
+#include "bench/cluster/workload.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kPatience{20'000};
+
+class SessionTest : public testing::Test {
+ protected:
+  SessionTest() : m_cluster({.proxies = 3, .servers = 3, .max_read_age_ms = 800}) {
+    m_cluster.AddGroup("g");
+    CreateWorkloadTable(m_cluster, "g");
+  }
+
+  void SetLag(const std::string& endpoint, std::int64_t lag_ms) {
+    EndpointFaults faults;
+    faults.apply_lag_ms = lag_ms;
+    m_cluster.SetEndpointFaults(endpoint, faults);
+  }
+
+  void ExpectNoViolations(Workload& workload) {
+    workload.Stop();
+    for (const auto& violation : workload.history().Violations(FinalState(m_cluster, "g"))) {
+      ADD_FAILURE() << violation;
+    }
+    EXPECT_GT(workload.history().reads().size(), 0U);
+  }
+
+  Cluster m_cluster;
+};
+
+TEST_F(SessionTest, RoamingSessionsSeeTheirWritesWhileReplicasLagSeconds) {
+  SetLag("g-b", 2000);
+  SetLag("g-c", 2500);
+  Workload workload(m_cluster, {});
+  ASSERT_TRUE(workload.WaitForWrites(200, kPatience));
+  ExpectNoViolations(workload);
+}
+
+TEST_F(SessionTest, RoamingSessionsUseReplicasThatKeepUp) {
+  Workload workload(m_cluster, {});
+  ASSERT_TRUE(workload.WaitForWrites(200, kPatience));
+  ExpectNoViolations(workload);
+  const auto reads = workload.history().reads();
+  const auto from_replicas =
+      std::count_if(reads.begin(), reads.end(), [](const auto& read) { return read.from_replica; });
+  // The stated target is 0.95 of all reads at healthy replicas.
+  EXPECT_GE(static_cast<double>(from_replicas), 0.95 * static_cast<double>(reads.size()));
+}
+
+TEST_F(SessionTest, ReadsKeepTheStatedAgeWhileOneReplicaLags) {
+  SetLag("g-b", 600);
+  Workload workload(m_cluster, {.age = Millis(250)});
+  ASSERT_TRUE(workload.WaitForWrites(150, kPatience));
+  ExpectNoViolations(workload);
+}
+
+TEST_F(SessionTest, FailoverBetweenWriteAndRead) {
+  Session session("g");
+  for (int i = 0; i < 3; ++i) {
+    const auto id = "f" + std::to_string(i);
+    ASSERT_TRUE(session
+                    .Write(m_cluster.proxy(0).callers, "INSERT INTO orders VALUES (?)",
+                           {boost::json::string(id)}, id)
+                    .ok());
+    if (i == 1) {
+      m_cluster.endpoint(m_cluster.PrimaryOf("g")).process->Kill();
+    }
+    const auto reply = session.Read(m_cluster.proxy(1).callers,
+                                    "SELECT count(*) FROM orders WHERE id = ?",
+                                    {boost::json::string(id)});
+    ASSERT_TRUE(reply.ok()) << reply.body;
+    EXPECT_EQ(reply.result.rows.at(0).at(0), 1);
+  }
+}
+
+TEST_F(SessionTest, TokenOfALaterTermAtAProxyWithAnOldView) {
+  // Proxy 2 is frozen over the failover; when it wakes, its view is old.
+  const auto old = m_cluster.PrimaryOf("g");
+  m_cluster.proxy(2).process->Freeze();
+  m_cluster.endpoint(old).process->Freeze();
+  Session session("g");
+  const auto written = session.Write(m_cluster.proxy(0).callers,
+                                     "INSERT INTO orders VALUES ('late')", {}, "late");
+  ASSERT_TRUE(written.ok()) << written.body;
+  m_cluster.endpoint(old).process->Thaw();
+  m_cluster.proxy(2).process->Thaw();
+  const auto reply = session.Read(m_cluster.proxy(2).callers,
+                                  "SELECT count(*) FROM orders WHERE id = 'late'");
+  ASSERT_TRUE(reply.ok()) << reply.body;
+  EXPECT_EQ(reply.result.rows.at(0).at(0), 1);
+}
+
+TEST_F(SessionTest, ProxyCutOffWithTheOldPrimaryServesNothingStale) {
+  // Proxy 2 and the old primary are on one side; everything else is on the other.
+  const auto old = m_cluster.PrimaryOf("g");
+  EndpointFaults replica_side;
+  replica_side.cut = {"vm2", old};
+  EndpointFaults old_side;
+  for (const auto& endpoint : m_cluster.endpoints()) {
+    if (endpoint->id.value() != old) {
+      old_side.cut.push_back(endpoint->id.value());
+      m_cluster.SetEndpointFaults(endpoint->id.value(), replica_side);
+    }
+  }
+  old_side.cut.push_back("vm0");
+  old_side.cut.push_back("vm1");
+  m_cluster.SetEndpointFaults(old, old_side);
+  Session writer("g");
+  writer.set_deadline(Millis(8000));
+  ASSERT_TRUE(writer
+                  .Write(m_cluster.proxy(0).callers, "INSERT INTO orders VALUES ('new')", {},
+                         "new")
+                  .ok());
+  const auto acknowledged = Clock::now();
+  // Reads through the cut-off proxy may be refused, but never show data older than the record's age.
+  Session reader("g");
+  reader.set_deadline(Millis(500));
+  while (Clock::now() < acknowledged + Millis(2500)) {
+    const auto start = Clock::now();
+    const auto reply = reader.Read(m_cluster.proxy(2).callers,
+                                   "SELECT count(*) FROM orders WHERE id = 'new'");
+    const bool must_see = start > acknowledged + Millis(800);
+    if (reply.ok() && must_see) {
+      EXPECT_EQ(reply.result.rows.at(0).at(0), 1) << "stale";
+    }
+  }
+  // A write through it is never acknowledged by the replaced primary.
+  const auto refused = reader.Write(m_cluster.proxy(2).callers,
+                                    "INSERT INTO orders VALUES ('ghost')", {}, "ghost");
+  EXPECT_FALSE(refused.ok());
+}
+
+}  // namespace
+}  // namespace cardamom
--- /dev/null
+++ b/tests/process/transaction_test.cc
@@ -0,0 +1,157 @@
+// Transactions never mix and never commit by accident, with real processes.
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "bench/cluster/workload.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kPatience{10'000};
+
+class TransactionTest : public testing::Test {
+ protected:
+  TransactionTest()
+      : m_cluster({.proxies = 2,
+                   .servers = 3,
+                   .proxy_flags = {"--transaction-idle-ms", "800"}}) {
+    m_cluster.AddGroup("g");
+    CreateWorkloadTable(m_cluster, "g");
+  }
+
+  const Address& Proxy(std::size_t i) { return m_cluster.proxy(i).callers; }
+
+  static std::string Path(const std::string& id, const std::string& operation) {
+    return "/v1/transactions/" + id + "/" + operation;
+  }
+
+  CallerReply Insert(Session& session, std::size_t proxy, const std::string& transaction,
+                     const std::string& row) {
+    CallerStatement statement;
+    statement.sql = "INSERT INTO orders VALUES (?)";
+    statement.params.emplace_back(row);
+    return session.Post(Proxy(proxy), Path(transaction, "statements"), Encode(statement));
+  }
+
+  // Polls until the endpoint has rolled back, so that another writer gets its turn.
+  bool WriterIsFree() {
+    Session session("g");
+    session.set_deadline(Millis(5000));
+    return session.Write(Proxy(1), "INSERT INTO orders VALUES ('free')", {}, "free").ok();
+  }
+
+  Cluster m_cluster;
+};
+
+TEST_F(TransactionTest, CommitShowsEverythingAndRollbackNothing) {
+  Session session("g");
+  const auto kept = session.Begin(Proxy(0));
+  ASSERT_FALSE(kept.empty());
+  EXPECT_TRUE(Insert(session, 0, kept, "a").ok());
+  EXPECT_TRUE(Insert(session, 0, kept, "b").ok());
+  EXPECT_TRUE(FinalState(m_cluster, "g", 1).empty()) << "an open transaction was seen";
+  EXPECT_TRUE(session.Post(Proxy(0), Path(kept, "commit"), "{}", "commit-1").ok());
+  const auto dropped = session.Begin(Proxy(0));
+  EXPECT_TRUE(Insert(session, 0, dropped, "c").ok());
+  EXPECT_TRUE(session.Post(Proxy(0), Path(dropped, "rollback"), "{}").ok());
+  const std::map<std::string, int> expected = {{"a", 1}, {"b", 1}};
+  EXPECT_EQ(FinalState(m_cluster, "g"), expected);
+  // The session reads its own commit through the other proxy.
+  const auto reply = session.Read(Proxy(1), "SELECT count(*) FROM orders");
+  ASSERT_TRUE(reply.ok()) << reply.body;
+  EXPECT_EQ(reply.result.rows.at(0).at(0), 2);
+}
+
+TEST_F(TransactionTest, StatementsThroughAnotherProxyReachTheOwner) {
+  Session session("g");
+  const auto id = session.Begin(Proxy(0));
+  EXPECT_TRUE(Insert(session, 1, id, "x").ok());
+  EXPECT_TRUE(Insert(session, 0, id, "y").ok());
+  EXPECT_TRUE(session.Post(Proxy(1), Path(id, "commit"), "{}").ok());
+  EXPECT_EQ(FinalState(m_cluster, "g").size(), 2U);
+}
+
+TEST_F(TransactionTest, OwnerKilledInTheMiddle) {
+  Session session("g");
+  session.set_deadline(Millis(1000));
+  const auto id = session.Begin(Proxy(0));
+  EXPECT_TRUE(Insert(session, 0, id, "half").ok());
+  m_cluster.proxy(0).process->Kill();
+  const auto statement = Insert(session, 1, id, "more");
+  EXPECT_FALSE(statement.ok());
+  EXPECT_TRUE(statement.not_run()) << statement.body;
+  m_cluster.PublishVms();
+  ASSERT_TRUE(m_cluster.WaitForStatus(
+      1, [](const ProxyStatus& status) { return status.vms.size() == 1; }, kPatience));
+  EXPECT_EQ(Insert(session, 1, id, "more").problem.code,
+            static_cast<int>(ResultCode::kTransactionAborted));
+  EXPECT_TRUE(WriterIsFree());
+  const std::map<std::string, int> expected = {{"free", 1}};
+  EXPECT_EQ(FinalState(m_cluster, "g", 1), expected);
+}
+
+TEST_F(TransactionTest, TwoRequestsAtOnce) {
+  Session session("g");
+  const auto id = session.Begin(Proxy(0));
+  EndpointFaults slow;
+  slow.answer_delay_ms = 300;
+  m_cluster.SetEndpointFaults(m_cluster.PrimaryOf("g"), slow);
+  CallerReply first;
+  std::thread other([&] {
+    Session another("g");
+    first = Insert(another, 0, id, "one");
+  });
+  // The second request is sent while the first is certainly in progress.
+  ASSERT_TRUE(m_cluster.WaitForStatus(
+      0, [](const ProxyStatus& status) { return status.in_progress >= 2; }, kPatience));
+  const auto second = Insert(session, 0, id, "two");
+  other.join();
+  EXPECT_TRUE(first.ok()) << first.body;
+  EXPECT_EQ(second.problem.code, static_cast<int>(ResultCode::kTransactionBusy));
+  EXPECT_TRUE(second.not_run());
+}
+
+TEST_F(TransactionTest, CallerGone) {
+  {
+    Session gone("g");
+    const auto id = gone.Begin(Proxy(0));
+    EXPECT_TRUE(Insert(gone, 0, id, "left").ok());
+  }
+  EXPECT_TRUE(WriterIsFree()) << "the idle transaction was not rolled back";
+  EXPECT_FALSE(FinalState(m_cluster, "g").contains("left"));
+}
+
+TEST_F(TransactionTest, PrimaryKilledInTheMiddle) {
+  Session session("g");
+  const auto id = session.Begin(Proxy(0));
+  EXPECT_TRUE(Insert(session, 0, id, "gone").ok());
+  m_cluster.endpoint(m_cluster.PrimaryOf("g")).process->Kill();
+  const auto commit = session.Post(Proxy(0), Path(id, "commit"), "{}", "commit-gone");
+  EXPECT_FALSE(commit.ok());
+  EXPECT_EQ(commit.problem.code, static_cast<int>(ResultCode::kTransactionAborted)) << commit.body;
+  EXPECT_FALSE(FinalState(m_cluster, "g").contains("gone"));
+}
+
+TEST_F(TransactionTest, LostAnswerOfACommitIsResolved) {
+  Session session("g");
+  const auto id = session.Begin(Proxy(0));
+  EXPECT_TRUE(Insert(session, 0, id, "kept").ok());
+  EndpointFaults faults;
+  faults.lose_answers = 1;
+  m_cluster.SetEndpointFaults(m_cluster.PrimaryOf("g"), faults);
+  const auto commit = session.Post(Proxy(0), Path(id, "commit"), "{}", "commit-kept");
+  EXPECT_TRUE(commit.ok()) << commit.body;
+  EXPECT_EQ(FinalState(m_cluster, "g").at("kept"), 1);
+}
+
+TEST_F(TransactionTest, ForeignIdsAreUnknown) {
+  Session session("g");
+  EXPECT_EQ(Insert(session, 0, "vm0~0123", "x").problem.code,
+            static_cast<int>(ResultCode::kUnknownTransaction));
+  EXPECT_EQ(Insert(session, 0, "nonsense", "x").problem.code,
+            static_cast<int>(ResultCode::kUnknownTransaction));
+}
+
+}  // namespace
+}  // namespace cardamom
