A leaving primary lets open transactions finish; withdrawing a group confirms their commits

Cause: a switchover fenced the primary at once, which aborted open transactions, and a withdrawn group stopped watching, so that a commit already under way ended as unknown after its deadline (6 s in the test). Change: a leaving primary gets no new transactions at once and single statements for 1.5 s at most; the steward waits that long for open transactions; a withdrawn group keeps watching until idle transactions would have ended.

--- a/bench/cluster/history.cc
+++ b/bench/cluster/history.cc
@@ -101,8 +101,7 @@
   m_reads.push_back(std::move(read));
 }
 
-std::vector<std::string> History::Violations(
-    const std::map<std::string, int>& final_state) const {
+std::vector<std::string> History::Violations(const std::map<std::string, int>& final_state) const {
   const std::lock_guard lock(m_mutex);
   std::vector<std::string> violations;
   CheckFinal(m_writes, final_state, violations);
--- a/bench/cluster/history.h
+++ b/bench/cluster/history.h
@@ -42,8 +42,9 @@
   void Add(ReadRecord read);
 
   // Judges the history, given the table as it is in the end. Each line names one violation: an
-  // acknowledged write that is missing, anything that stands twice, a write that was refused as not run
-  // and is present, a session that misses its own write or goes back, a read older than its age.
+  // acknowledged write that is missing, anything that stands twice, a write that was refused as not
+  // run and is present, a session that misses its own write or goes back, a read older than its
+  // age.
   std::vector<std::string> Violations(const std::map<std::string, int>& final_state) const;
 
   std::vector<WriteRecord> writes() const;
@@ -51,7 +52,8 @@
   std::size_t Count(Fate fate) const;
   // What callers were told instead of an acknowledgement, each text once, with its number.
   std::map<std::string, int> Problems() const;
-  // Longest time between the ends of two acknowledged writes that follow each other, from `since` on.
+  // Longest time between the ends of two acknowledged writes that follow each other, from `since`
+  // on.
   Millis LongestGap(TimePoint since) const;
 
  private:
--- a/bench/cluster/workload.cc
+++ b/bench/cluster/workload.cc
@@ -69,9 +69,8 @@
     write.id = std::to_string(session) + "-" + std::to_string(n);
     write.session = session;
     write.start = Clock::now();
-    const auto written =
-        caller.Write(pick(), "INSERT INTO orders VALUES (?)",
-                     {boost::json::string(write.id)}, "key-" + write.id);
+    const auto written = caller.Write(pick(), "INSERT INTO orders VALUES (?)",
+                                      {boost::json::string(write.id)}, "key-" + write.id);
     write.end = Clock::now();
     write.fate = written.ok()        ? Fate::kAcknowledged
                  : written.not_run() ? Fate::kNotRun
@@ -107,7 +106,8 @@
   }
 }
 
-std::map<std::string, int> FinalState(Cluster& cluster, const std::string& group,
+std::map<std::string, int> FinalState(Cluster& cluster,
+                                      const std::string& group,
                                       std::size_t proxy) {
   for (int i = 0; i < kFinalReadTries; ++i) {
     Session fresh(group);
--- a/bench/cluster/workload.h
+++ b/bench/cluster/workload.h
@@ -22,8 +22,8 @@
   std::uint64_t seed = 1;
 };
 
-// Runs from construction to Stop. Each session writes one row with a key through one proxy and reads the
-// table through another.
+// Runs from construction to Stop. Each session writes one row with a key through one proxy and
+// reads the table through another.
 class Workload {
  public:
   Workload(Cluster& cluster, const WorkloadOptions& options);
@@ -53,7 +53,8 @@
 void CreateWorkloadTable(Cluster& cluster, const std::string& group);
 
 // The table as a fresh caller reads it from the primary.
-std::map<std::string, int> FinalState(Cluster& cluster, const std::string& group,
+std::map<std::string, int> FinalState(Cluster& cluster,
+                                      const std::string& group,
                                       std::size_t proxy = 0);
 
 }  // namespace cardamom
--- a/src/endpoint/endpoint_messages.h
+++ b/src/endpoint/endpoint_messages.h
@@ -54,6 +54,7 @@
   // The promoter's note on the lineage, kept with its first entry.
   std::string note;
   std::uint32_t connections = 0;
+  std::uint32_t open_transactions = 0;
 };
 BOOST_DESCRIBE_STRUCT(ServerState,
                       (),
@@ -69,7 +70,8 @@
                        primary_address,
                        primary_contact_age_ms,
                        note,
-                       connections))
+                       connections,
+                       open_transactions))
 
 // POST /v1/state. Answers at once, or when the state differs from what the caller has seen.
 struct StateRequest {
--- a/src/group/group_view.h
+++ b/src/group/group_view.h
@@ -36,7 +36,8 @@
   // was learned.
   bool Observe(const ServerState& state, TimePoint sent, TimePoint received);
 
-  // Notes that a question to `endpoint`, sent at `sent`, failed; `refused` if nothing listens there.
+  // Notes that a question to `endpoint`, sent at `sent`, failed; `refused` if nothing listens
+  // there.
   void ObserveFailure(const EndpointId& endpoint, TimePoint sent, bool refused);
 
   // Notes that `endpoint` holds `position`, as an answer of its own showed.
--- a/src/proxy/group.cc
+++ b/src/proxy/group.cc
@@ -19,6 +19,7 @@
 constexpr Millis kFailurePause{50};
 constexpr Millis kPromotionPause{5};
 constexpr Millis kActiveFor{5000};
+constexpr Millis kStopGrace{5000};
 constexpr double kRetryRatio = 0.2;
 constexpr double kRetryReserve = 50;
 
@@ -43,16 +44,14 @@
 }
 
 void Group::Stop() {
-  {
-    const std::lock_guard lock(m_mutex);
-    m_stopped = true;
-    for (auto& [id, endpoint] : m_endpoints) {
-      endpoint->dropped = true;
-    }
-  }
-  ++m_pokes;
-  m_poke.NotifyAll();
-  m_changed.NotifyAll();
+  const auto grace = Millis(m_context.settings.transaction_idle_ms) + kStopGrace;
+  const std::lock_guard lock(m_mutex);
+  m_ends_at = Clock::now() + grace;
+}
+
+bool Group::HasEnded() const {
+  const std::lock_guard lock(m_mutex);
+  return m_ends_at && Clock::now() >= *m_ends_at;
 }
 
 void Group::Update(GroupRecord record, std::size_t connection_share) {
@@ -75,7 +74,12 @@
     auto& runtime = m_endpoints[spec.id];
     if (runtime != nullptr && runtime->spec.address == spec.address) {
       runtime->spec = spec;
-      runtime->client->work_pool().SetMax(spec.leaving ? 0 : m_connection_share);
+      if (!spec.leaving) {
+        runtime->leaving_since.reset();
+        runtime->client->work_pool().SetMax(m_connection_share);
+      } else if (!runtime->leaving_since) {
+        runtime->leaving_since = Clock::now();
+      }
       continue;
     }
     if (runtime != nullptr) {
@@ -93,12 +97,32 @@
     return true;
   });
   m_view.Keep(m_record);
+  ReleaseLeaving();
   return fresh;
 }
 
+void Group::ReleaseLeaving() {
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint->spec.leaving && m_view.primary() != id) {
+      endpoint->client->work_pool().SetMax(0);
+    }
+  }
+}
+
+bool Group::MayStillGetWork(const EndpointRuntime& endpoint, Use use) const {
+  const std::lock_guard lock(m_mutex);
+  if (!endpoint.leaving_since) {
+    return true;
+  }
+  return use == Use::kStatement && Clock::now() < *endpoint.leaving_since + kLeavingGrace;
+}
+
 std::shared_ptr<EndpointRuntime> Group::MakeRuntime(const EndpointSpec& spec) const {
   auto runtime = std::make_shared<EndpointRuntime>();
   runtime->spec = spec;
+  if (spec.leaving) {
+    runtime->leaving_since = Clock::now();
+  }
   runtime->client = std::make_shared<EndpointClient>(m_context.io, *Address::Parse(spec.address),
                                                      m_context.settings.vm_id, m_connection_share);
   ConcurrencyLimit::Options limit;
@@ -147,7 +171,9 @@
   co_return co_await m_changed.WaitUntil(holds, deadline);
 }
 
-asio::awaitable<Outcome<Group::Primary>> Group::WaitForPrimary(Term least, TimePoint deadline) {
+asio::awaitable<Outcome<Group::Primary>> Group::WaitForPrimary(Term least,
+                                                               TimePoint deadline,
+                                                               Use use) {
   const auto known = [least](const GroupView& view) {
     return view.primary().has_value() && view.term() >= least;
   };
@@ -163,10 +189,10 @@
       id = m_view.primary();
     }
     primary.endpoint = Find(*id);
-    if (primary.endpoint != nullptr && !primary.endpoint->spec.leaving) {
+    if (primary.endpoint != nullptr && MayStillGetWork(*primary.endpoint, use)) {
       co_return primary;
     }
-    // The primary leaves: its successor opens a greater term.
+    // The primary has left: its successor opens a greater term.
     const auto current = primary.term;
     if (!co_await WaitFor([current](const GroupView& view) { return view.term() > current; },
                           deadline)) {
@@ -211,6 +237,9 @@
   {
     const std::lock_guard lock(m_mutex);
     learned = m_view.Observe(state, sent, Clock::now());
+    if (learned) {
+      ReleaseLeaving();
+    }
     subject = {
         .group = m_id, .endpoint = m_view.primary().value_or(EndpointId()), .term = m_view.term()};
   }
@@ -334,7 +363,7 @@
 asio::awaitable<void> Group::WatchLoop(std::shared_ptr<EndpointRuntime> endpoint) {
   // The first question is answered at once.
   Millis wait{0};
-  while (!endpoint->dropped) {
+  while (!endpoint->dropped && !HasEnded()) {
     const auto seen_pokes = m_pokes.load();
     const bool answered = co_await Ask(endpoint, wait);
     wait = answered && IsActive() ? PollTimeOf(endpoint->spec.id) : Millis(0);
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -20,6 +21,10 @@
 
 namespace cardamom {
 
+// How long a leaving primary may go on, so that open transactions can end before its successor
+// takes over.
+inline constexpr Millis kLeavingGrace{1500};
+
 // An endpoint of the group with its adapter and limits.
 struct EndpointRuntime {
   EndpointSpec spec;
@@ -27,6 +32,8 @@
   std::shared_ptr<EndpointGate> gate;
   std::atomic<Duration::rep> round_trip{0};
   std::atomic<bool> dropped{false};
+  // When this proxy learned that the endpoint leaves; nothing while it serves.
+  std::optional<TimePoint> leaving_since;
 };
 
 // Thread safe. m_mutex is taken after no other lock; hooks run under it take none.
@@ -36,7 +43,8 @@
 
   // Starts to watch the endpoints. Call once.
   void Start();
-  // Ends every loop.
+  // Takes no new work; open transactions still see their commits confirmed for a while, then every
+  // loop ends.
   void Stop();
   // Takes a changed record or a changed connection share.
   void Update(GroupRecord record, std::size_t connection_share);
@@ -65,8 +73,12 @@
     Term term;
     std::shared_ptr<EndpointRuntime> endpoint;
   };
-  // Waits for a primary of a term not below `least`.
-  asio::awaitable<Outcome<Primary>> WaitForPrimary(Term least, TimePoint deadline);
+  enum class Use { kStatement, kTransaction };
+  // Waits for a primary of a term not below `least`. One that leaves gets no new transactions, and
+  // single statements for kLeavingGrace at most.
+  asio::awaitable<Outcome<Primary>> WaitForPrimary(Term least,
+                                                   TimePoint deadline,
+                                                   Use use = Use::kStatement);
 
   // Waits until `position` is committed, or it is known not to be in the current term's log.
   enum class CommitState { kCommitted, kTermChanged, kDeadline };
@@ -102,12 +114,17 @@
 
   // Requires m_mutex. Returns the endpoints to watch from now on.
   std::vector<std::shared_ptr<EndpointRuntime>> ApplyRecord();
+  // Requires m_mutex. Closes connections to leaving endpoints that are not primary.
+  void ReleaseLeaving();
+  // Whether a leaving primary may still get work: its successor needs a moment.
+  bool MayStillGetWork(const EndpointRuntime& endpoint, Use use) const;
   std::shared_ptr<EndpointRuntime> MakeRuntime(const EndpointSpec& spec) const;
   void Watch(const std::shared_ptr<EndpointRuntime>& endpoint);
   asio::awaitable<void> WatchLoop(std::shared_ptr<EndpointRuntime> endpoint);
   // Requires nothing. One state question.
   asio::awaitable<bool> Ask(std::shared_ptr<EndpointRuntime> endpoint, Millis wait);
   bool IsActive() const;
+  bool HasEnded() const;
   Millis PollTimeOf(const EndpointId& endpoint) const;
 
   ProxyContext& m_context;
@@ -121,7 +138,8 @@
   RetryBudget m_retry_budget;
   bool m_refreshing = false;
   std::uint64_t m_refresh_round = 0;
-  bool m_stopped = false;
+  // When the loops end, once the group is withdrawn.
+  std::optional<TimePoint> m_ends_at;
   std::atomic<bool> m_watched{false};
   std::atomic<Clock::rep> m_last_use{0};
   Notifier m_changed;
--- a/src/proxy/steward.cc
+++ b/src/proxy/steward.cc
@@ -359,6 +359,24 @@
   });
 }
 
+asio::awaitable<bool> Steward::HasTransactionsToWaitFor() {
+  const auto now = Clock::now();
+  if (!m_switchover_wanted_since) {
+    m_switchover_wanted_since = now;
+  }
+  if (now >= *m_switchover_wanted_since + kLeavingGrace) {
+    co_return false;
+  }
+  const auto primary = m_group->WithView([](const GroupView& view) { return view.primary(); });
+  const auto endpoint = primary ? m_group->Find(*primary) : nullptr;
+  if (endpoint == nullptr) {
+    co_return false;
+  }
+  const StateRequest question;
+  const auto state = co_await endpoint->client->State(question, now + kFollowTimeout);
+  co_return state && state->open_transactions > 0;
+}
+
 asio::awaitable<bool> Steward::IsLeavingEndpointHeldBack() {
   const auto record = m_group->record();
   const auto voters = record.ServingIds();
@@ -393,6 +411,9 @@
   if (same_voters && !co_await IsLeavingEndpointHeldBack()) {
     co_return;
   }
+  if (co_await HasTransactionsToWaitFor()) {
+    co_return;
+  }
   m_context.events.Emit(EventCode::kSwitchoverStarted, {.group = m_group->id()});
   auto eligible = voters;
   // The primary stays if it serves; else the server that holds most goes first.
@@ -407,7 +428,9 @@
         });
     return 0;
   });
-  co_await Promote(Reason::kSwitchover, std::move(eligible));
+  if (co_await Promote(Reason::kSwitchover, std::move(eligible))) {
+    m_switchover_wanted_since.reset();
+  }
   m_next_promotion = Clock::now() + kPromotionPause;
 }
 
--- a/src/proxy/steward.h
+++ b/src/proxy/steward.h
@@ -44,8 +44,10 @@
   asio::awaitable<void> Maintain(std::size_t rank);
   // Starts a planned promotion if the record asks for other voters.
   asio::awaitable<void> FollowRecord();
-  // Whether a term reserved by a process that is gone keeps a leaving endpoint as a voter. Completing a
-  // greater term clears it away.
+  // Whether a planned change should wait, within bounds, for transactions that it would abort.
+  asio::awaitable<bool> HasTransactionsToWaitFor();
+  // Whether a term reserved by a process that is gone keeps a leaving endpoint as a voter.
+  // Completing a greater term clears it away.
   asio::awaitable<bool> IsLeavingEndpointHeldBack();
   bool NewVotersCaughtUp(const std::vector<EndpointId>& voters) const;
 
@@ -82,6 +84,7 @@
   std::optional<TimePoint> m_suspected_since;
   std::optional<TimePoint> m_fenced_above_since;
   Term m_fenced_above;
+  std::optional<TimePoint> m_switchover_wanted_since;
   TimePoint m_next_row_update;
   TimePoint m_next_row_check;
   std::optional<TimePoint> m_held_back_since;
--- a/src/proxy/transaction_service.cc
+++ b/src/proxy/transaction_service.cc
@@ -18,7 +18,7 @@
                                                                   TimePoint deadline) {
   Term least;
   for (;;) {
-    const auto primary = co_await group->WaitForPrimary(least, deadline);
+    const auto primary = co_await group->WaitForPrimary(least, deadline, Group::Use::kTransaction);
     if (!primary) {
       co_return primary.error();
     }
--- a/standin/replica_state.cc
+++ b/standin/replica_state.cc
@@ -27,6 +27,7 @@
   state.start = m_start;
   state.primary_address = m_primary_address;
   state.note = m_note;
+  state.open_transactions = m_in_transaction ? 1 : 0;
   return state;
 }
 
--- a/tests/process/at_most_once_test.cc
+++ b/tests/process/at_most_once_test.cc
@@ -97,8 +97,8 @@
 TEST_F(AtMostOnceTest, SameKeyForAnotherStatementIsAConflict) {
   ASSERT_TRUE(Write(0, "one").ok());
   Session session("g");
-  const auto reply = session.Write(m_cluster.proxy(1).callers, kInsert,
-                                   {boost::json::string("two")}, "key-one");
+  const auto reply =
+      session.Write(m_cluster.proxy(1).callers, kInsert, {boost::json::string("two")}, "key-one");
   EXPECT_EQ(reply.problem.code, static_cast<int>(ResultCode::kKeyConflict));
   EXPECT_TRUE(reply.not_run());
   EXPECT_FALSE(FinalState(m_cluster, "g").contains("two"));
--- a/tests/process/caller_api_test.cc
+++ b/tests/process/caller_api_test.cc
@@ -16,7 +16,9 @@
   static void TearDownTestSuite() { s_cluster.reset(); }
 
   // Sends a request and returns the code of its problem.
-  ResultCode CodeOf(const std::string& method, const std::string& target, const std::string& body,
+  ResultCode CodeOf(const std::string& method,
+                    const std::string& target,
+                    const std::string& body,
                     std::vector<HttpHeader> headers = {}) {
     const auto response =
         SendOnce(s_cluster->proxy(0).callers, method, target, body, std::move(headers));
@@ -55,8 +57,7 @@
             ResultCode::kDeadlineExpired);
   EXPECT_EQ(CodeOf("POST", kWrite, kGood, {{"Idempotency-Key", std::string(300, 'k')}}),
             ResultCode::kBadHeader);
-  EXPECT_EQ(CodeOf("POST", "/v1/transactions/vm0~1/commit", "{}"),
-            ResultCode::kUnknownTransaction);
+  EXPECT_EQ(CodeOf("POST", "/v1/transactions/vm0~1/commit", "{}"), ResultCode::kUnknownTransaction);
   EXPECT_EQ(CodeOf("GET", kRead, ""), ResultCode::kNoRoute);
   EXPECT_EQ(CodeOf("POST", "/peer/v1/groups/g/read", kGood), ResultCode::kNoRoute);
   EXPECT_EQ(CodeOf("POST", kRead, R"({"sql":"SELECT nothing FROM nowhere"})"),
--- a/tests/process/config_test.cc
+++ b/tests/process/config_test.cc
@@ -24,9 +24,7 @@
       const auto left = std::max(Millis(1), ToMillis(deadline - Clock::now()));
       if (!m_cluster.WaitForStatus(
               i,
-              [revision](const ProxyStatus& status) {
-                return status.revision.value() >= revision;
-              },
+              [revision](const ProxyStatus& status) { return status.revision.value() >= revision; },
               left)) {
         return false;
       }
@@ -108,7 +106,8 @@
   const auto rows = Decode<TableReadAnswer>(
       SendOnce(m_cluster.platform(), "POST", "/v1/table/read", Encode(read))->body);
   TransactRequest change;
-  change.expect = {{kRevisionKey, rows->rows.at(0).version}, {"record/g", rows->rows.at(1).version}};
+  change.expect = {{kRevisionKey, rows->rows.at(0).version},
+                   {"record/g", rows->rows.at(1).version}};
   change.puts = {{kRevisionKey, Encode(RevisionRow{Revision(2), {}})},
                  {"record/g", Encode(stored)}};
   ASSERT_EQ(SendOnce(m_cluster.platform(), "POST", "/v1/table/transact", Encode(change))->status,
--- a/tests/process/drain_test.cc
+++ b/tests/process/drain_test.cc
@@ -40,8 +40,7 @@
     for (const auto& [problem, count] : workload.history().Problems()) {
       ADD_FAILURE() << count << " times " << problem;
     }
-    for (const auto& violation :
-         workload.history().Violations(FinalState(m_cluster, "g", proxy))) {
+    for (const auto& violation : workload.history().Violations(FinalState(m_cluster, "g", proxy))) {
       ADD_FAILURE() << violation;
     }
   }
@@ -159,9 +158,32 @@
   // New work is refused; the open transaction may finish.
   Session late("g");
   EXPECT_TRUE(late.Read(m_cluster.proxy(0).callers, "SELECT 1").not_run());
-  const auto commit = session.Post(m_cluster.proxy(0).callers,
-                                   "/v1/transactions/" + id + "/commit", "{}", "last");
-  EXPECT_TRUE(commit.ok() || commit.unknown()) << commit.body;
+  const auto commit =
+      session.Post(m_cluster.proxy(0).callers, "/v1/transactions/" + id + "/commit", "{}", "last");
+  EXPECT_TRUE(commit.ok()) << commit.body;
+}
+
+TEST_F(DrainTest, LeavingPrimaryLetsAnOpenTransactionFinish) {
+  const auto old = m_cluster.PrimaryOf("g");
+  Session session("g");
+  const auto id = session.Begin(m_cluster.proxy(1).callers);
+  ASSERT_FALSE(id.empty());
+  ASSERT_EQ(MarkLeaving(old).status, 200);
+  ASSERT_TRUE(m_cluster.WaitForStatus(
+      1, [](const ProxyStatus& status) { return status.revision.value() == 2; }, kPatience));
+  CallerStatement statement;
+  statement.sql = "INSERT INTO orders VALUES ('finished')";
+  EXPECT_TRUE(session
+                  .Post(m_cluster.proxy(1).callers, "/v1/transactions/" + id + "/statements",
+                        Encode(statement))
+                  .ok());
+  const auto commit = session.Post(m_cluster.proxy(1).callers, "/v1/transactions/" + id + "/commit",
+                                   "{}", "finished");
+  EXPECT_TRUE(commit.ok()) << commit.body;
+  EXPECT_TRUE(m_cluster.WaitForStatus(
+      0, [&](const ProxyStatus& status) { return status.groups.at(0).primary.value() != old; },
+      kNoNewWorkAfter));
+  EXPECT_EQ(FinalState(m_cluster, "g").at("finished"), 1);
 }
 
 TEST_F(DrainTest, GracefulStopUnderLoadCutsNothing) {
@@ -181,10 +203,10 @@
                   .ok());
   EXPECT_FALSE(m_cluster.proxy(2).process->Wait(Millis(600)).has_value())
       << "it stopped with a transaction open";
-  EXPECT_TRUE(session
-                  .Post(m_cluster.proxy(2).callers, "/v1/transactions/" + id + "/commit", "{}",
-                        "stopping")
-                  .ok());
+  EXPECT_TRUE(
+      session
+          .Post(m_cluster.proxy(2).callers, "/v1/transactions/" + id + "/commit", "{}", "stopping")
+          .ok());
   EXPECT_EQ(m_cluster.proxy(2).process->Wait(kPatience), 0);
   EXPECT_TRUE(workload.WaitForWrites(30, kPatience));
   ExpectNoErrorsAndNoViolations(workload);
--- a/tests/process/failover_test.cc
+++ b/tests/process/failover_test.cc
@@ -48,13 +48,11 @@
 
   // Number of events of that code since the proxy started.
   std::size_t EventsOf(std::size_t proxy, EventCode code) {
-    const auto response =
-        SendOnce(m_cluster.proxy(proxy).operations, "GET", "/v1/events", "");
+    const auto response = SendOnce(m_cluster.proxy(proxy).operations, "GET", "/v1/events", "");
     const auto list = Decode<EventList>(response->body);
     return static_cast<std::size_t>(
-        std::count_if(list->events.begin(), list->events.end(), [code](const Event& event) {
-          return event.code == static_cast<int>(code);
-        }));
+        std::count_if(list->events.begin(), list->events.end(),
+                      [code](const Event& event) { return event.code == static_cast<int>(code); }));
   }
 
   std::size_t FindSteward() {
@@ -158,9 +156,7 @@
         PrimaryProcessAsSeenBy((steward + 1) % 3).Kill();
         const bool fenced = m_cluster.WaitForStatus(
             steward,
-            [&](const ProxyStatus&) {
-              return EventsOf(steward, EventCode::kReservedTermUsed) > 0;
-            },
+            [&](const ProxyStatus&) { return EventsOf(steward, EventCode::kReservedTermUsed) > 0; },
             kPatience);
         EXPECT_TRUE(fenced);
         m_cluster.proxy(steward).process->Freeze();
--- a/tests/process/session_test.cc
+++ b/tests/process/session_test.cc
@@ -69,9 +69,9 @@
     if (i == 1) {
       m_cluster.endpoint(m_cluster.PrimaryOf("g")).process->Kill();
     }
-    const auto reply = session.Read(m_cluster.proxy(1).callers,
-                                    "SELECT count(*) FROM orders WHERE id = ?",
-                                    {boost::json::string(id)});
+    const auto reply =
+        session.Read(m_cluster.proxy(1).callers, "SELECT count(*) FROM orders WHERE id = ?",
+                     {boost::json::string(id)});
     ASSERT_TRUE(reply.ok()) << reply.body;
     EXPECT_EQ(reply.result.rows.at(0).at(0), 1);
   }
@@ -83,13 +83,13 @@
   m_cluster.proxy(2).process->Freeze();
   m_cluster.endpoint(old).process->Freeze();
   Session session("g");
-  const auto written = session.Write(m_cluster.proxy(0).callers,
-                                     "INSERT INTO orders VALUES ('late')", {}, "late");
+  const auto written =
+      session.Write(m_cluster.proxy(0).callers, "INSERT INTO orders VALUES ('late')", {}, "late");
   ASSERT_TRUE(written.ok()) << written.body;
   m_cluster.endpoint(old).process->Thaw();
   m_cluster.proxy(2).process->Thaw();
-  const auto reply = session.Read(m_cluster.proxy(2).callers,
-                                  "SELECT count(*) FROM orders WHERE id = 'late'");
+  const auto reply =
+      session.Read(m_cluster.proxy(2).callers, "SELECT count(*) FROM orders WHERE id = 'late'");
   ASSERT_TRUE(reply.ok()) << reply.body;
   EXPECT_EQ(reply.result.rows.at(0).at(0), 1);
 }
@@ -111,26 +111,26 @@
   m_cluster.SetEndpointFaults(old, old_side);
   Session writer("g");
   writer.set_deadline(Millis(8000));
-  ASSERT_TRUE(writer
-                  .Write(m_cluster.proxy(0).callers, "INSERT INTO orders VALUES ('new')", {},
-                         "new")
-                  .ok());
+  ASSERT_TRUE(
+      writer.Write(m_cluster.proxy(0).callers, "INSERT INTO orders VALUES ('new')", {}, "new")
+          .ok());
   const auto acknowledged = Clock::now();
-  // Reads through the cut-off proxy may be refused, but never show data older than the record's age.
+  // Reads through the cut-off proxy may be refused, but never show data older than the record's
+  // age.
   Session reader("g");
   reader.set_deadline(Millis(500));
   while (Clock::now() < acknowledged + Millis(2500)) {
     const auto start = Clock::now();
-    const auto reply = reader.Read(m_cluster.proxy(2).callers,
-                                   "SELECT count(*) FROM orders WHERE id = 'new'");
+    const auto reply =
+        reader.Read(m_cluster.proxy(2).callers, "SELECT count(*) FROM orders WHERE id = 'new'");
     const bool must_see = start > acknowledged + Millis(800);
     if (reply.ok() && must_see) {
       EXPECT_EQ(reply.result.rows.at(0).at(0), 1) << "stale";
     }
   }
   // A write through it is never acknowledged by the replaced primary.
-  const auto refused = reader.Write(m_cluster.proxy(2).callers,
-                                    "INSERT INTO orders VALUES ('ghost')", {}, "ghost");
+  const auto refused =
+      reader.Write(m_cluster.proxy(2).callers, "INSERT INTO orders VALUES ('ghost')", {}, "ghost");
   EXPECT_FALSE(refused.ok());
 }
 
--- a/tests/process/transaction_test.cc
+++ b/tests/process/transaction_test.cc
@@ -13,9 +13,7 @@
 class TransactionTest : public testing::Test {
  protected:
   TransactionTest()
-      : m_cluster({.proxies = 2,
-                   .servers = 3,
-                   .proxy_flags = {"--transaction-idle-ms", "800"}}) {
+      : m_cluster({.proxies = 2, .servers = 3, .proxy_flags = {"--transaction-idle-ms", "800"}}) {
     m_cluster.AddGroup("g");
     CreateWorkloadTable(m_cluster, "g");
   }
@@ -26,7 +24,9 @@
     return "/v1/transactions/" + id + "/" + operation;
   }
 
-  CallerReply Insert(Session& session, std::size_t proxy, const std::string& transaction,
+  CallerReply Insert(Session& session,
+                     std::size_t proxy,
+                     const std::string& transaction,
                      const std::string& row) {
     CallerStatement statement;
     statement.sql = "INSERT INTO orders VALUES (?)";
