--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
 git ls-files '*.cc' | grep -v '^tests/' |
-  xargs -P 8 -n 1 clang-tidy -p "$build" --quiet --warnings-as-errors='*' 2>/dev/null
+  xargs -P 8 -n 1 clang-tidy -p "$build" --quiet --warnings-as-errors="*" 2>/dev/null
