Load tool and measurements of both profiles

Open-loop load with sessions that roam, JSON and HTML results, and cardamom_bench, which prints metric lines with verdicts.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,19 @@
 	ninja -C build-tsan
 	tests/run_tests.sh build-tsan
 
+# Long random runs of the properties and the failure tests; the seed is printed and can be given.
+SOAK_SEED ?= $(shell date +%s)
+soak: build
+	@echo "seed $(SOAK_SEED)"
+	RC_PARAMS="seed=$(SOAK_SEED) max_success=5000" $(BUILD)/tests/unit_tests --gtest_brief=1
+	$(BUILD)/tests/process_tests --gtest_brief=1 --gtest_repeat=5 --gtest_fail_fast
+
+bench: build
+	$(BUILD)/cardamom_bench --html bench.html
+
+bench-quick: build
+	$(BUILD)/cardamom_bench --quick --html bench.html
+
 format:
 	clang-format -i $$(git ls-files '*.cc' '*.h')
 
--- /dev/null
+++ b/bench/load/load_generator.cc
@@ -0,0 +1,164 @@
+#include "bench/load/load_generator.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "async/spawn.h"
+#include "bench/cluster/session.h"
+#include "proxy/caller_messages.h"
+
+namespace cardamom {
+namespace {
+
+constexpr std::size_t kConnectionsPerProxy = 512;
+constexpr Millis kAnswerMargin{2000};
+constexpr int kRows = 500;
+
+LoadOutcome OutcomeOf(const Outcome<HttpResponse>& response) {
+  if (!response) {
+    return response.error().ran == Ran::kNo ? LoadOutcome::kNotRun : LoadOutcome::kUnknown;
+  }
+  if (response->status == 200) {
+    return LoadOutcome::kOk;
+  }
+  const auto problem = Decode<Problem>(response->body);
+  return problem && problem->ran == "no" ? LoadOutcome::kNotRun : LoadOutcome::kUnknown;
+}
+
+}  // namespace
+
+LoadGenerator::LoadGenerator(LoadOptions options) : m_options(std::move(options)) {
+  for (const auto& proxy : m_options.proxies) {
+    m_pools.push_back(std::make_shared<ConnectionPool>(m_context, proxy, kConnectionsPerProxy));
+  }
+  for (std::size_t i = 0; i < m_options.sessions * m_options.groups.size(); ++i) {
+    m_sessions.push_back(std::make_unique<Session>());
+  }
+}
+
+LoadGenerator::~LoadGenerator() {
+  for (auto& thread : m_threads) {
+    thread.join();
+  }
+}
+
+void LoadGenerator::Start() {
+  m_start = Clock::now();
+  Spawn(m_context, [this] { return Arrivals(); });
+  for (std::size_t i = 0; i < m_options.threads; ++i) {
+    m_threads.emplace_back([this] { m_context.run(); });
+  }
+}
+
+std::int64_t LoadGenerator::NowUs() const {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - m_start).count();
+}
+
+void LoadGenerator::Avoid(const Address& proxy) {
+  const std::lock_guard lock(m_mutex);
+  std::erase_if(m_pools, [&](const auto& pool) { return pool->peer() == proxy; });
+}
+
+LoadResult LoadGenerator::Finish() {
+  for (auto& thread : m_threads) {
+    thread.join();
+  }
+  m_threads.clear();
+  LoadResult result;
+  result.name = m_options.name;
+  result.rate = m_options.rate;
+  result.seconds = std::chrono::duration<double>(m_options.duration).count();
+  result.samples = m_samples;
+  return result;
+}
+
+std::shared_ptr<ConnectionPool> LoadGenerator::PickProxy(std::uint64_t random) {
+  const std::lock_guard lock(m_mutex);
+  return m_pools[random % m_pools.size()];
+}
+
+asio::awaitable<void> LoadGenerator::Arrivals() {
+  std::mt19937_64 random(m_options.seed);
+  std::exponential_distribution<double> gap(m_options.rate);
+  auto due = m_start;
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  for (std::uint64_t number = 0;; ++number) {
+    due += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
+    if (due >= m_start + m_options.duration) {
+      co_return;
+    }
+    if (due > Clock::now()) {
+      timer.expires_at(due);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    const auto choice = random();
+    Spawn(m_context, [this, due, number, choice] { return Request(due, number, choice); });
+  }
+}
+
+asio::awaitable<void> LoadGenerator::Request(TimePoint due,
+                                             std::uint64_t number,
+                                             std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  const bool write = std::uniform_real_distribution<double>(0, 1)(random) >= m_options.read_share;
+  const auto group = random() % m_options.groups.size();
+  auto& session = *m_sessions[group * m_options.sessions + random() % m_options.sessions];
+  const auto row = static_cast<std::int64_t>(random() % kRows);
+  CallerStatement statement;
+  statement.sql =
+      write ? "UPDATE load SET n = n + 1 WHERE id = ?" : "SELECT n FROM load WHERE id = ?";
+  statement.params.emplace_back(row);
+  if (!write && m_options.age) {
+    statement.max_age_ms = m_options.age->count();
+  }
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/groups/" + m_options.groups[group] + (write ? "/write" : "/read");
+  request.body = Encode(statement);
+  request.headers.push_back({"Cardamom-Deadline-Ms", std::to_string(m_options.deadline.count())});
+  if (write) {
+    request.headers.push_back(
+        {"Idempotency-Key", std::to_string(m_options.seed) + "-" + std::to_string(number)});
+  }
+  {
+    const std::lock_guard lock(session.mutex);
+    if (!session.token.empty()) {
+      request.headers.push_back({"Cardamom-Session", session.token});
+    }
+  }
+  const auto pool = PickProxy(random());
+  const auto response =
+      co_await pool->Send(std::move(request), Clock::now() + m_options.deadline + kAnswerMargin);
+  LoadSample sample;
+  sample.due_us = std::chrono::duration_cast<std::chrono::microseconds>(due - m_start).count();
+  sample.latency_us =
+      std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - due).count();
+  sample.write = write;
+  sample.outcome = static_cast<int>(OutcomeOf(response));
+  sample.group = static_cast<int>(group);
+  if (response && response->status == 200) {
+    sample.from_replica = response->body.find("\"replica\":true") != std::string::npos;
+    if (const auto token = response->Header("Cardamom-Session")) {
+      const std::lock_guard lock(session.mutex);
+      session.token = *token;
+    }
+  }
+  const std::lock_guard lock(m_mutex);
+  m_samples.push_back(sample);
+}
+
+void CreateLoadTable(const Address& proxy, const std::string& group) {
+  cardamom::Session session(group);
+  const auto run = [&](const std::string& sql) {
+    const auto reply = session.Write(proxy, sql);
+    if (!reply.ok()) {
+      throw std::runtime_error("the table of the load was not created: " + reply.body);
+    }
+  };
+  run("CREATE TABLE load (id INTEGER PRIMARY KEY, n INTEGER)");
+  run("WITH RECURSIVE c(i) AS (SELECT 0 UNION ALL SELECT i + 1 FROM c WHERE i < " +
+      std::to_string(kRows - 1) + ") INSERT INTO load SELECT i, 0 FROM c");
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/bench/scenarios/scenarios.cc
@@ -0,0 +1,471 @@
+#include "bench/scenarios/scenarios.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "bench/cluster/session.h"
+#include "bench/load/load_generator.h"
+
+namespace cardamom {
+namespace {
+
+constexpr double kCeneriRate = 900;
+constexpr double kAssociationRate = 400;
+constexpr Millis kSettle{1500};
+constexpr Millis kPatience{20'000};
+
+std::vector<Address> CallersOf(Cluster& cluster) {
+  std::vector<Address> callers;
+  for (std::size_t i = 0; i < cluster.proxies(); ++i) {
+    callers.push_back(cluster.proxy(i).callers);
+  }
+  return callers;
+}
+
+// Starts the three services of a site with their tables.
+std::unique_ptr<Cluster> StartSite(const SiteProfile& profile, int groups) {
+  auto cluster = std::make_unique<Cluster>(profile);
+  for (int i = 0; i < groups; ++i) {
+    const auto name = "s" + std::to_string(i);
+    cluster->AddGroup(name);
+    CreateLoadTable(cluster->proxy(0).callers, name);
+  }
+  std::this_thread::sleep_for(kSettle);
+  return cluster;
+}
+
+LoadOptions LoadOf(Cluster& cluster, const std::string& name, double rate, int groups) {
+  LoadOptions options;
+  options.name = name;
+  options.proxies = CallersOf(cluster);
+  for (int i = 0; i < groups; ++i) {
+    options.groups.push_back("s" + std::to_string(i));
+  }
+  options.rate = rate;
+  options.age = Millis(1000);
+  return options;
+}
+
+// Delay of each answer of the endpoints, which stands for the way between failure domains and back.
+void SetNetworkDelay(Cluster& cluster, std::int64_t delay_ms) {
+  EndpointFaults faults;
+  faults.answer_delay_ms = delay_ms;
+  for (const auto& endpoint : cluster.endpoints()) {
+    cluster.SetEndpointFaults(endpoint->id.value(), faults);
+  }
+}
+
+LoadResult RunLoad(const LoadOptions& options) {
+  LoadGenerator generator(options);
+  generator.Start();
+  auto result = generator.Finish();
+  std::cout << "# " << SummaryText(result) << std::endl;
+  return result;
+}
+
+void SetLag(Cluster& cluster,
+            const std::string& group,
+            std::size_t replicas,
+            std::int64_t lag_ms,
+            std::int64_t delay_ms) {
+  const auto primary = cluster.PrimaryOf(group);
+  EndpointFaults faults;
+  faults.apply_lag_ms = lag_ms;
+  faults.answer_delay_ms = delay_ms;
+  std::size_t done = 0;
+  for (const auto& endpoint : cluster.endpoints()) {
+    if (endpoint->group.value() == group && endpoint->id.value() != primary && done < replicas) {
+      cluster.SetEndpointFaults(endpoint->id.value(), faults);
+      ++done;
+    }
+  }
+}
+
+enum class Failure { kKill, kFreeze, kCut };
+
+const char* NameOf(Failure failure) {
+  switch (failure) {
+    case Failure::kKill:
+      return "kill";
+    case Failure::kFreeze:
+      return "freeze";
+    case Failure::kCut:
+      return "cut";
+  }
+  return "";
+}
+
+void Inflict(Cluster& cluster, Failure failure, const std::string& primary) {
+  if (failure == Failure::kKill) {
+    cluster.endpoint(primary).process->Kill();
+  } else if (failure == Failure::kFreeze) {
+    cluster.endpoint(primary).process->Freeze();
+  } else {
+    EndpointFaults faults;
+    faults.answer_delay_ms = 1;
+    for (const auto& endpoint : cluster.endpoints()) {
+      if (endpoint->id.value() != primary) {
+        faults.cut.push_back(endpoint->id.value());
+      }
+    }
+    cluster.SetEndpointFaults(primary, faults);
+  }
+}
+
+double MeasureOneFailover(const BenchScale& scale,
+                          Report& report,
+                          Failure failure,
+                          bool store_down) {
+  auto cluster = StartSite(AssociationProfile(scale), 1);
+  SetNetworkDelay(*cluster, 1);
+  const auto name = fmt::format("{} {}", NameOf(failure), store_down ? "store down" : "store up");
+  auto options = LoadOf(*cluster, name, kAssociationRate, 1);
+  options.read_share = 0.5;
+  LoadGenerator generator(options);
+  generator.Start();
+  std::this_thread::sleep_for(kSettle);
+  if (store_down) {
+    cluster->SetPlatformFaults(R"({"outage":true})");
+  }
+  const auto since = generator.NowUs();
+  Inflict(*cluster, failure, cluster->PrimaryOf("s0"));
+  auto result = generator.Finish();
+  const double gap = result.LongestGapMs(since);
+  std::cout << "# " << SummaryText(result) << ", gap " << gap << " ms" << std::endl;
+  report.Keep(std::move(result));
+  return gap;
+}
+
+std::size_t PromotionsSince(Cluster& cluster, std::uint64_t term) {
+  return cluster.Status(0).groups.at(0).term.value() - term;
+}
+
+std::uint64_t LoopbackBytes() {
+  std::ifstream file("/proc/net/dev");
+  for (std::string line; std::getline(file, line);) {
+    const auto place = line.find("lo:");
+    if (place != std::string::npos) {
+      std::istringstream fields(line.substr(place + 3));
+      std::uint64_t received = 0;
+      fields >> received;
+      return received;
+    }
+  }
+  return 0;
+}
+
+struct IdleCost {
+  double core_share = 0;
+  double resident_mb = 0;
+  double kb_per_second = 0;
+};
+
+IdleCost MeasureIdle(Cluster& cluster, Millis duration) {
+  std::vector<ProcessUsage> before;
+  for (std::size_t i = 0; i < cluster.proxies(); ++i) {
+    before.push_back(UsageOf(cluster.proxy(i).process->pid()));
+  }
+  const auto bytes = LoopbackBytes();
+  std::this_thread::sleep_for(duration);
+  const auto seconds = std::chrono::duration<double>(duration).count();
+  const auto count = static_cast<double>(cluster.proxies());
+  IdleCost cost;
+  cost.kb_per_second = static_cast<double>(LoopbackBytes() - bytes) / 1000 / seconds / count;
+  for (std::size_t i = 0; i < cluster.proxies(); ++i) {
+    const auto after = UsageOf(cluster.proxy(i).process->pid());
+    cost.core_share += (after.cpu_seconds - before[i].cpu_seconds) / seconds / count;
+    cost.resident_mb = std::max(cost.resident_mb, static_cast<double>(after.resident_bytes) / 1e6);
+  }
+  return cost;
+}
+
+// Waits until requests of the set-up no longer count as use.
+void WaitUntilIdle() {
+  std::this_thread::sleep_for(Millis(7000));
+}
+
+}  // namespace
+
+SiteProfile CeneriProfile(const BenchScale& scale) {
+  SiteProfile profile;
+  profile.proxies = scale.proxies;
+  profile.slots = 5;
+  profile.connections = 80;
+  profile.connect_ms = 10;
+  profile.service_us = 2000;
+  return profile;
+}
+
+SiteProfile AssociationProfile(const BenchScale& scale) {
+  SiteProfile profile;
+  profile.proxies = scale.proxies;
+  profile.slots = 3;
+  profile.connections = 90;
+  profile.connect_ms = 30;
+  profile.service_us = 2000;
+  return profile;
+}
+
+void MeasureReplicaShare(const BenchScale& scale, Report& report) {
+  constexpr int kGroups = 3;
+  constexpr std::int64_t kDelayMs = 3;
+  auto cluster = StartSite(CeneriProfile(scale), kGroups);
+  SetNetworkDelay(*cluster, kDelayMs);
+  auto options = LoadOf(*cluster, "ceneri healthy", kCeneriRate, kGroups);
+  options.duration = scale.run;
+  auto healthy = RunLoad(options);
+  report.Add("replica_share_healthy", healthy.ReplicaShare(), "share", Bound::kAtLeast, 0.95);
+  report.Keep(std::move(healthy));
+
+  for (int i = 0; i < kGroups; ++i) {
+    SetLag(*cluster, "s" + std::to_string(i), 1, 5000, kDelayMs);
+  }
+  options.name = "ceneri one replica behind";
+  options.seed = 2;
+  auto behind = RunLoad(options);
+  report.Note("replica_share_one_replica_5s_behind", behind.ReplicaShare(), "share");
+  report.Keep(std::move(behind));
+
+  options.name = "ceneri lag bursts";
+  options.seed = 3;
+  LoadGenerator generator(options);
+  generator.Start();
+  const auto end = Clock::now() + scale.run;
+  for (std::int64_t lag = 2000; Clock::now() + Millis(1500) < end; lag = 2000 - lag) {
+    for (int i = 0; i < kGroups; ++i) {
+      SetLag(*cluster, "s" + std::to_string(i), 2, lag, kDelayMs);
+    }
+    std::this_thread::sleep_for(Millis(1500));
+  }
+  auto bursts = generator.Finish();
+  std::cout << "# " << SummaryText(bursts) << std::endl;
+  report.Note("replica_share_lag_bursts_2s", bursts.ReplicaShare(), "share");
+  report.Keep(std::move(bursts));
+}
+
+void MeasureFailover(const BenchScale& scale, Report& report) {
+  std::vector<double> gaps;
+  for (int round = 0; round < scale.failover_rounds; ++round) {
+    for (const auto failure : {Failure::kKill, Failure::kFreeze, Failure::kCut}) {
+      for (const bool store_down : {false, true}) {
+        gaps.push_back(MeasureOneFailover(scale, report, failure, store_down));
+        report.Note(
+            fmt::format("failover_gap_{}_store_{}", NameOf(failure), store_down ? "down" : "up"),
+            gaps.back(), "ms");
+      }
+    }
+  }
+  std::sort(gaps.begin(), gaps.end());
+  report.Add("failover_gap_longest", gaps.back(), "ms", Bound::kAtMost, 2000);
+  report.Add("failover_gap_median", gaps[gaps.size() / 2], "ms", Bound::kAtMost, 1000);
+}
+
+void MeasureSlowSpells(const BenchScale& scale, Report& report) {
+  auto cluster = StartSite(AssociationProfile(scale), 1);
+  SetNetworkDelay(*cluster, 1);
+  auto options = LoadOf(*cluster, "slow spells of 500 ms", kAssociationRate, 1);
+  options.duration = scale.spells;
+  const auto term = cluster->Status(0).groups.at(0).term.value();
+  const auto primary = cluster->PrimaryOf("s0");
+  LoadGenerator generator(options);
+  generator.Start();
+  const auto end = Clock::now() + scale.spells - Millis(2000);
+  int spells = 0;
+  while (Clock::now() < end) {
+    cluster->endpoint(primary).process->Freeze();
+    std::this_thread::sleep_for(Millis(500));
+    cluster->endpoint(primary).process->Thaw();
+    std::this_thread::sleep_for(Millis(1500));
+    ++spells;
+  }
+  auto result = generator.Finish();
+  std::cout << "# " << SummaryText(result) << std::endl;
+  report.Note("slow_spells", spells, "count");
+  report.Add("false_promotions", static_cast<double>(PromotionsSince(*cluster, term)), "count",
+             Bound::kAtMost, 0);
+  report.Keep(std::move(result));
+}
+
+void MeasureSwitchover(const BenchScale& scale, Report& report) {
+  auto cluster = StartSite(AssociationProfile(scale), 1);
+  SetNetworkDelay(*cluster, 1);
+  auto options = LoadOf(*cluster, "planned switchover", kAssociationRate, 1);
+  options.read_share = 0.5;
+  LoadGenerator generator(options);
+  generator.Start();
+  std::this_thread::sleep_for(kSettle);
+  const auto old = cluster->PrimaryOf("s0");
+  auto record = cluster->RecordOf("s0");
+  for (auto& endpoint : record.endpoints) {
+    endpoint.leaving = endpoint.id.value() == old;
+  }
+  const auto since = generator.NowUs();
+  const auto replaced = cluster->Replace(record);
+  auto result = generator.Finish();
+  std::cout << "# " << SummaryText(result) << std::endl;
+  report.Add("switchover_accepted", replaced.status == 200 ? 1 : 0, "bool", Bound::kAtLeast, 1);
+  report.Add("switchover_moved", cluster->PrimaryOf("s0") != old ? 1 : 0, "bool", Bound::kAtLeast,
+             1);
+  report.Add("switchover_gap", result.LongestGapMs(since), "ms", Bound::kAtMost, 300);
+  report.Add("switchover_caller_errors",
+             static_cast<double>(result.samples.size() - result.Count(LoadOutcome::kOk)), "count",
+             Bound::kAtMost, 0);
+  report.Keep(std::move(result));
+}
+
+void MeasureOverload(const BenchScale& scale, Report& report) {
+  const auto profile = CeneriProfile(scale);
+  auto cluster = StartSite(profile, 1);
+  auto options = LoadOf(*cluster, "peak", 0, 1);
+  options.read_share = 1;
+  options.deadline = Millis(500);
+  options.duration = scale.run;
+  // Three servers with five slots of 2 ms each.
+  const double capacity = 3.0 * static_cast<double>(profile.slots) * 1e6 / profile.service_us;
+  double peak = 0;
+  for (const double share : {0.4, 0.6, 0.8}) {
+    options.rate = capacity * share;
+    options.seed += 1;
+    options.name = fmt::format("at {:.1f} of capacity", share);
+    auto result = RunLoad(options);
+    peak = std::max(peak, result.Goodput());
+    report.Keep(std::move(result));
+  }
+  options.rate = capacity * 3;
+  options.seed += 1;
+  options.name = "at 3 times capacity";
+  auto result = RunLoad(options);
+  const auto refused = result.Latency(false, LoadOutcome::kNotRun);
+  report.Note("capacity_nominal", capacity, "1/s");
+  report.Note("goodput_peak", peak, "1/s");
+  report.Add("overload_goodput_share", result.Goodput() / peak, "share", Bound::kAtLeast, 0.9);
+  report.Add("overload_refusal_p99", refused.p99_ms, "ms", Bound::kAtMost, 50);
+  double waiting = 0;
+  double connections = 0;
+  for (const auto& endpoint : cluster->endpoints()) {
+    const auto statistics = cluster->EndpointStatistics(endpoint->id.value());
+    waiting = std::max(waiting, statistics.at("peak_waiting").to_number<double>());
+    connections = std::max(connections, statistics.at("peak_connections").to_number<double>());
+  }
+  report.Note("overload_peak_waiting_at_an_endpoint", waiting, "count");
+  report.Add("overload_peak_connections", connections, "count", Bound::kAtMost,
+             static_cast<double>(profile.connections));
+  report.Keep(std::move(result));
+}
+
+void MeasureConnections(const BenchScale& scale, Report& report) {
+  const auto profile = CeneriProfile(scale);
+  auto cluster = StartSite(profile, 1);
+  // New VMs join and old ones die while the list lags three seconds.
+  cluster->SetPlatformFaults(R"({"list_lag_ms":3000})");
+  auto options = LoadOf(*cluster, "proxies replaced", kCeneriRate, 1);
+  options.duration = scale.run + Millis(4000);
+  LoadGenerator generator(options);
+  generator.Start();
+  for (int i = 0; i < 3; ++i) {
+    std::this_thread::sleep_for(Millis(1500));
+    const auto victim = static_cast<std::size_t>(i) + 1;
+    generator.Avoid(cluster->proxy(victim).callers);
+    std::this_thread::sleep_for(Millis(200));
+    cluster->proxy(victim).process->Kill();
+    cluster->AddProxy("new" + std::to_string(i));
+    cluster->PublishVms();
+  }
+  auto result = generator.Finish();
+  std::cout << "# " << SummaryText(result) << std::endl;
+  double peak = 0;
+  double refused = 0;
+  for (const auto& endpoint : cluster->endpoints()) {
+    const auto statistics = cluster->EndpointStatistics(endpoint->id.value());
+    peak = std::max(peak, statistics.at("peak_connections").to_number<double>());
+    refused += statistics.at("refused_connections").to_number<double>();
+  }
+  report.Add("connections_peak_at_an_endpoint", peak, "count", Bound::kAtMost,
+             static_cast<double>(profile.connections));
+  report.Add("connections_refused_by_endpoints", refused, "count", Bound::kAtMost, 0);
+  report.Keep(std::move(result));
+}
+
+void MeasureAddedLatency(const BenchScale& /*scale*/, Report& report) {
+  constexpr int kRequests = 3000;
+  auto cluster = StartSite({.proxies = 1}, 1);
+  const auto measure = [&](const Address& address, const std::string& target,
+                           const std::string& body, std::vector<HttpHeader> headers) {
+    BlockingClient client(address);
+    std::vector<double> times;
+    for (int i = 0; i < kRequests; ++i) {
+      HttpRequest request;
+      request.method = "POST";
+      request.target = target;
+      request.body = body;
+      request.headers = headers;
+      const auto start = Clock::now();
+      const auto response = client.Send(request, Millis(2000));
+      if (response && response->status == 200) {
+        times.push_back(std::chrono::duration<double, std::milli>(Clock::now() - start).count());
+      }
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+  };
+  Session session("s0");
+  session.Write(cluster->proxy(0).callers, "UPDATE load SET n = 1 WHERE id = 1");
+  const auto replica = cluster->PrimaryOf("s0") == "s0-b" ? "s0-c" : "s0-b";
+  ReadRequest direct;
+  direct.statement.sql = "SELECT n FROM load WHERE id = 1";
+  const auto without = measure(cluster->endpoint(replica).address, "/v1/read", Encode(direct), {});
+  CallerStatement through;
+  through.sql = direct.statement.sql;
+  const auto with = measure(cluster->proxy(0).callers, "/v1/groups/s0/read", Encode(through),
+                            {{"Cardamom-Session", session.token()}});
+  const auto at = [](const std::vector<double>& times, double share) {
+    return times.at(static_cast<std::size_t>(share * static_cast<double>(times.size() - 1)));
+  };
+  report.Note("direct_read_median", at(without, 0.5), "ms");
+  report.Note("proxied_read_median", at(with, 0.5), "ms");
+  report.Add("added_latency_median", at(with, 0.5) - at(without, 0.5), "ms", Bound::kAtMost, 0.3);
+  report.Add("added_latency_p99", at(with, 0.99) - at(without, 0.99), "ms", Bound::kAtMost, 2);
+}
+
+void MeasureIdleCost(const BenchScale& scale, Report& report) {
+  SiteProfile profile;
+  profile.proxies = scale.idle_proxies;
+  auto cluster = StartSite(profile, 3);
+  WaitUntilIdle();
+  const auto cost = MeasureIdle(*cluster, Millis(5000));
+  report.Add("idle_core_share", cost.core_share * 100, "%", Bound::kAtMost, 1.2);
+  report.Add("idle_resident", cost.resident_mb, "MB", Bound::kAtMost, 128);
+  report.Add("idle_traffic_a_proxy", cost.kb_per_second, "KB/s", Bound::kAtMost, 3);
+}
+
+void MeasureSlopes(const BenchScale& /*scale*/, Report& report) {
+  struct Size {
+    std::size_t proxies;
+    int groups;
+    std::uint32_t homes;
+  };
+  for (const auto& size : {Size{3, 3, 21}, Size{9, 3, 21}, Size{21, 3, 21}, Size{60, 3, 3},
+                           Size{9, 9, 3}, Size{9, 30, 3}}) {
+    SiteProfile profile;
+    profile.proxies = size.proxies;
+    profile.home_proxies = size.homes;
+    Cluster cluster(profile);
+    for (int i = 0; i < size.groups; ++i) {
+      cluster.AddGroup("s" + std::to_string(i));
+    }
+    WaitUntilIdle();
+    const auto cost = MeasureIdle(cluster, Millis(5000));
+    const auto label =
+        fmt::format("{} proxies, {} groups, {} homes", size.proxies, size.groups, size.homes);
+    report.Note(label + ": core", cost.core_share * 100, "%");
+    report.Note(label + ": resident", cost.resident_mb, "MB");
+    report.Note(label + ": traffic a proxy", cost.kb_per_second, "KB/s");
+  }
+}
+
+}  // namespace cardamom
