--- a/src/proxy/transaction_service.cc
+++ b/src/proxy/transaction_service.cc
@@ -48,7 +48,9 @@
       group->ObserveFailure(*primary->endpoint, begun.error(), sent_at);
     }
     const auto next = DecideRetry(begun.error(), {true, deadline, Clock::now()});
-    if (next == AfterAttempt::kReport || !group->TryRetry()) {
+    const bool allowed = next == AfterAttempt::kWaitForPrimary ||
+                         (next == AfterAttempt::kRetry && group->TryRetry());
+    if (!allowed) {
       co_return Error{begun.error().code, begun.error().detail, Ran::kNo};
     }
     co_await group->Refresh();
--- a/src/proxy/write_service.cc
+++ b/src/proxy/write_service.cc
@@ -62,7 +62,11 @@
     const auto error = result.error();
     ++progress.attempts;
     const auto next = DecideRetry(error, {true, deadline, Clock::now()});
-    if (next == AfterAttempt::kReport || !group.TryRetry()) {
+    // Work that waits for another primary adds no load to the one that failed; the budget is for
+    // retries at a server that is there.
+    const bool allowed =
+        next == AfterAttempt::kWaitForPrimary || (next == AfterAttempt::kRetry && group.TryRetry());
+    if (!allowed) {
       if (error.code == ResultCode::kKeyConflict) {
         co_return error;
       }
@@ -164,7 +168,7 @@
   if (answer->has_value()) {
     co_return **answer;
   }
-  co_return Error{ResultCode::kTransport, "the primary was replaced before it answered",
+  co_return Error{ResultCode::kNotPrimary, "the primary was replaced before it answered",
                   Ran::kUnknown};
 }
 
