--- a/bench/load/load_generator.cc
+++ b/bench/load/load_generator.cc
@@ -11,7 +11,7 @@
 namespace cardamom {
 namespace {
 
-constexpr std::size_t kConnectionsPerProxy = 512;
+constexpr std::size_t kConnectionsPerProxy = 2048;
 constexpr Millis kAnswerMargin{2000};
 constexpr int kRows = 500;
 
@@ -69,6 +69,7 @@
   result.name = m_options.name;
   result.rate = m_options.rate;
   result.seconds = std::chrono::duration<double>(m_options.duration).count();
+  result.deadline_ms = static_cast<double>(m_options.deadline.count());
   result.samples = m_samples;
   return result;
 }
--- a/bench/load/load_result.cc
+++ b/bench/load/load_result.cc
@@ -127,7 +127,11 @@
 }
 
 double LoadResult::Goodput() const {
-  return seconds == 0 ? 0 : static_cast<double>(Count(LoadOutcome::kOk)) / seconds;
+  const auto good = std::count_if(samples.begin(), samples.end(), [this](const auto& sample) {
+    return sample.outcome == static_cast<int>(LoadOutcome::kOk) &&
+           static_cast<double>(sample.latency_us) <= deadline_ms * kUsPerMs;
+  });
+  return seconds == 0 ? 0 : static_cast<double>(good) / seconds;
 }
 
 std::string SummaryText(const LoadResult& result) {
--- a/bench/load/load_result.h
+++ b/bench/load/load_result.h
@@ -37,6 +37,8 @@
   std::string name;
   double rate = 0;
   double seconds = 0;
+  // An answer after its deadline is worth nothing.
+  double deadline_ms = 0;
   std::vector<LoadSample> samples;
 
   LatencySummary Latency(bool write, LoadOutcome outcome) const;
@@ -45,10 +47,10 @@
   double ReplicaShare() const;
   // Longest time without a successful write in one group, from `since_us` on.
   double LongestGapMs(std::int64_t since_us) const;
-  // Successful requests a second.
+  // Requests a second that succeeded within their deadline.
   double Goodput() const;
 };
-BOOST_DESCRIBE_STRUCT(LoadResult, (), (name, rate, seconds, samples))
+BOOST_DESCRIBE_STRUCT(LoadResult, (), (name, rate, seconds, deadline_ms, samples))
 
 // A self-contained page with plots of one result, or of several side by side. Thread safe.
 std::string ReportHtml(const std::vector<LoadResult>& results);
--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -10,6 +10,8 @@
 
 constexpr Millis kAnswerTimeout{400};
 constexpr Millis kVmListInterval{1000};
+// Once the list names this VM, changes are rare and the list is long.
+constexpr Millis kSettledVmListInterval{5000};
 constexpr std::size_t kPeersAsked = 3;
 constexpr std::size_t kMeetingsKept = 9;
 
@@ -280,7 +282,9 @@
       m_peers.Keep(list->vms);
       m_on_change();
     }
-    co_await Sleep(kVmListInterval);
+    const bool listed =
+        m_membership.Find(m_membership.self().id).has_value() && m_membership.vms().size() > 1;
+    co_await Sleep(listed ? kSettledVmListInterval : kVmListInterval);
   }
 }
 
--- a/src/proxy/endpoint_gate.cc
+++ b/src/proxy/endpoint_gate.cc
@@ -37,8 +37,10 @@
   m_gate->m_limit.OnOverload();
 }
 
-EndpointGate::EndpointGate(const ConcurrencyLimit::Options& limit, std::size_t queue_capacity)
-    : m_limit(limit), m_queue(queue_capacity) {}
+EndpointGate::EndpointGate(const ConcurrencyLimit::Options& limit,
+                           std::size_t queue_capacity,
+                           Millis read_queue)
+    : m_read_queue(read_queue), m_limit(limit), m_queue(queue_capacity) {}
 
 Duration EndpointGate::ExpectedWait() const {
   return m_typical_latency * (m_queue.waiting() + 1) / std::max<std::size_t>(1, m_limit.limit());
@@ -61,12 +63,15 @@
 
 asio::awaitable<Outcome<EndpointGate::Pass>> EndpointGate::Enter(Priority priority,
                                                                  TimePoint deadline) {
-  auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor, deadline);
+  auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor);
   AdmissionQueue::Decision decision;
   Timer evicted;
   std::size_t in_progress = 0;
   {
     const std::lock_guard lock(m_mutex);
+    if (priority == Priority::kRead) {
+      deadline = std::min(deadline, Clock::now() + m_read_queue);
+    }
     decision = m_queue.Enter(priority, deadline, Clock::now(), m_limit.limit(), ExpectedWait());
     if (decision.admission == Admission::kQueued) {
       m_waiters.emplace(decision.ticket, Waiter{timer});
@@ -83,6 +88,8 @@
   if (decision.admission == Admission::kRun) {
     co_return Pass(shared_from_this(), in_progress);
   }
+  timer->expires_at(deadline);
+  // A decision that came before the wait began was posted to this strand, and cancels the wait.
   co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
   const std::lock_guard lock(m_mutex);
   const auto state = m_waiters.at(decision.ticket).state;
--- a/src/proxy/endpoint_gate.h
+++ b/src/proxy/endpoint_gate.h
@@ -33,7 +33,10 @@
     std::size_t m_in_progress;
   };
 
-  EndpointGate(const ConcurrencyLimit::Options& limit, std::size_t queue_capacity);
+  // A read whose expected wait exceeds `read_queue` is refused; other work waits for its deadline.
+  EndpointGate(const ConcurrencyLimit::Options& limit,
+               std::size_t queue_capacity,
+               Millis read_queue);
 
   // Waits for admission. Errors: kOverloaded and kDeadlineExpired with Ran::kNo. Precondition: the
   // calling coroutine runs on a strand.
@@ -58,6 +61,7 @@
   // Requires m_mutex.
   Duration ExpectedWait() const;
 
+  const Millis m_read_queue;
   mutable std::mutex m_mutex;
   ConcurrencyLimit m_limit;
   AdmissionQueue m_queue;
--- a/src/proxy/group.cc
+++ b/src/proxy/group.cc
@@ -130,7 +130,8 @@
   limit.most = m_connection_share;
   limit.least = std::min<std::size_t>(2, m_connection_share);
   runtime->gate = std::make_shared<EndpointGate>(
-      limit, static_cast<std::size_t>(m_context.settings.queue_capacity));
+      limit, static_cast<std::size_t>(m_context.settings.queue_capacity),
+      Millis(m_context.settings.read_queue_ms));
   return runtime;
 }
 
@@ -289,7 +290,8 @@
   }
 }
 
-void Group::set_watched(bool watched) {
+void Group::set_watched(bool watched, bool steward) {
+  m_steward = steward;
   if (m_watched.exchange(watched) != watched) {
     ++m_pokes;
     m_poke.NotifyAll();
@@ -351,7 +353,7 @@
 Millis Group::PollTimeOf(const EndpointId& endpoint) const {
   const bool is_primary =
       WithView([&](const GroupView& view) { return view.primary() == endpoint; });
-  return is_primary && m_watched ? kPrimaryPoll : kLongPoll;
+  return is_primary && m_steward ? kPrimaryPoll : kLongPoll;
 }
 
 void Group::Watch(const std::shared_ptr<EndpointRuntime>& endpoint) {
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -103,8 +103,8 @@
 
   // Notes that a request uses the group: its endpoints are then watched closely for a while.
   void Touch() { m_last_use = Clock::now().time_since_epoch().count(); }
-  // Whether this proxy watches the group as a steward.
-  void set_watched(bool watched);
+  // Whether this proxy watches the group in case its steward fails, and whether it is the steward.
+  void set_watched(bool watched, bool steward);
 
   bool TryRetry();
   void OnFirstAttempt();
@@ -141,6 +141,7 @@
   // When the loops end, once the group is withdrawn.
   std::optional<TimePoint> m_ends_at;
   std::atomic<bool> m_watched{false};
+  std::atomic<bool> m_steward{false};
   std::atomic<Clock::rep> m_last_use{0};
   Notifier m_changed;
   // Ends the pauses of the watch loops.
--- a/src/proxy/read_service.cc
+++ b/src/proxy/read_service.cc
@@ -45,6 +45,7 @@
   Error last{ResultCode::kNoFreshServer, "no endpoint satisfies the read"};
   do {
     const auto plan = co_await MakePlan(*group, command, age, deadline);
+    bool all_overloaded = !plan.choices.empty();
     for (const auto& choice : plan.choices) {
       auto receipt = co_await Try(*group, command, choice, plan.need, age, deadline);
       if (receipt) {
@@ -55,8 +56,13 @@
       if (last.code == ResultCode::kStatementFailed) {
         co_return last;
       }
+      all_overloaded = all_overloaded && last.code == ResultCode::kOverloaded;
       m_context.metrics.CountRetry(InfoOf(last.code).name.data());
     }
+    if (all_overloaded) {
+      // Asking again would only keep the queues full.
+      co_return Error{ResultCode::kOverloaded, last.detail, Ran::kNo};
+    }
     co_await Sleep(kRoundPause);
     co_await group->Refresh();
   } while (Clock::now() < deadline);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -34,6 +34,7 @@
   std::int64_t max_deadline_ms = 0;
   std::int64_t attempt_timeout_ms = 0;
   std::int64_t queue_capacity = 0;
+  std::int64_t read_queue_ms = 0;
   std::int64_t read_wait_ms = 0;
   std::int64_t stall_limit_ms = 0;
   std::int64_t suspect_refused_ms = 0;
