Refusals within 50 ms at overload; an idle primary takes reads earlier

Cause: refusals came when a read's 100 ms in the queue were over, and replicas queued four requests a slot before the primary helped. Change: read-queue-ms 40; a replica counts as overloaded at 1.5 requests a slot.

--- a/src/routing/read_router.h
+++ b/src/routing/read_router.h
@@ -38,7 +38,7 @@
   // Longest wait at a replica that has not applied the position yet.
   Millis max_wait{40};
   // Requests per slot above which a replica counts as overloaded.
-  double overload_per_slot = 4.0;
+  double overload_per_slot = 1.5;
   // Weight of an outstanding request per slot, as time.
   Millis load_weight{4};
 };
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -28,7 +28,7 @@
                   "Longest wait for one answer of an endpoint."},
     NumberSetting{"queue-capacity", &Settings::queue_capacity, 128, 1, 100'000, "requests",
                   "Requests that wait for one endpoint."},
-    NumberSetting{"read-queue-ms", &Settings::read_queue_ms, 100, 1, 60'000, "ms",
+    NumberSetting{"read-queue-ms", &Settings::read_queue_ms, 40, 1, 60'000, "ms",
                   "Expected wait for an endpoint above which a read is refused."},
     NumberSetting{"read-wait-ms", &Settings::read_wait_ms, 40, 0, 10'000, "ms",
                   "Longest wait of a read at a replica that lags."},
