--- /dev/null
+++ b/tests/unit/docs_test.cc
@@ -0,0 +1,82 @@
+// The tables of the code and of the pages say the same.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <iterator>
+
+#include <fmt/format.h>
+
+#include "cardamom/event_code.h"
+#include "cardamom/result_code.h"
+#include "settings/settings.h"
+
+namespace cardamom {
+namespace {
+
+std::string Page(const std::string& name) {
+  std::ifstream file(std::string(PROJECT_ROOT) + "/docs/" + name);
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+// Number of lines of the page that are rows of a table with a first cell in lower case or digits.
+std::size_t Rows(const std::string& page) {
+  std::size_t rows = 0;
+  for (std::size_t place = page.find("\n| "); place != std::string::npos;
+       place = page.find("\n| ", place + 1)) {
+    ++rows;
+  }
+  return rows;
+}
+
+TEST(DocsTest, EveryResultCodeIsDescribed) {
+  const auto page = Page("ERRORS.md");
+  for (const auto& info : AllResultCodes()) {
+    const auto row = fmt::format("| {} | {} | {} | {} |", static_cast<int>(info.code), info.name,
+                                 info.http_status, info.meaning);
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+  }
+  EXPECT_EQ(Rows(page), AllResultCodes().size() + 1);
+}
+
+TEST(DocsTest, EveryEventIsDescribed) {
+  const auto page = Page("EVENTS.md");
+  for (const auto& info : AllEventCodes()) {
+    const auto row = fmt::format("| {} | {} | {} | {} |", static_cast<int>(info.code), info.name,
+                                 info.level, info.meaning);
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+  }
+  EXPECT_EQ(Rows(page), AllEventCodes().size() + 1);
+}
+
+TEST(DocsTest, EverySettingIsDescribed) {
+  const auto page = Page("SETTINGS.md");
+  for (const auto& setting : NumberSettings()) {
+    const auto row = fmt::format("| {} | {} | {} ({} to {} {}) | {} |", setting.name,
+                                 EnvironmentName(setting.name), setting.initial, setting.least,
+                                 setting.most, setting.unit, setting.meaning);
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+  }
+  for (const auto& setting : TextSettings()) {
+    const auto row =
+        fmt::format("| {} | {} | {} | {} |", setting.name, EnvironmentName(setting.name),
+                    setting.required ? "required" : setting.initial, setting.meaning);
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+  }
+  EXPECT_EQ(Rows(page), NumberSettings().size() + TextSettings().size() + 1);
+}
+
+TEST(DocsTest, CodesAreUniqueAndAscending) {
+  int last = -1;
+  for (const auto& info : AllResultCodes()) {
+    EXPECT_GT(static_cast<int>(info.code), last);
+    last = static_cast<int>(info.code);
+  }
+  last = -1;
+  for (const auto& info : AllEventCodes()) {
+    EXPECT_GT(static_cast<int>(info.code), last);
+    last = static_cast<int>(info.code);
+  }
+}
+
+}  // namespace
+}  // namespace cardamom
