--- a/src/platform/platform_client.cc
+++ b/src/platform/platform_client.cc
@@ -7,6 +7,7 @@
 
 constexpr std::size_t kConnections = 8;
 constexpr int kStatusOk = 200;
+constexpr int kStatusNotModified = 304;
 constexpr int kStatusConflict = 409;
 
 HttpRequest MakeRequest(const char* method, const char* target, std::string body) {
@@ -43,7 +44,8 @@
     co_return Error{ResultCode::kPlatformUnavailable, response.error().detail,
                     response.error().ran};
   }
-  if (response->status != kStatusOk && response->status != kStatusConflict) {
+  const auto status = response->status;
+  if (status != kStatusOk && status != kStatusNotModified && status != kStatusConflict) {
     co_return Error{ResultCode::kPlatformUnavailable, "status " + std::to_string(response->status),
                     Ran::kUnknown};
   }
@@ -62,9 +64,30 @@
   co_return cardamom::Read<TableReadAnswer>(co_await Send(std::move(message), deadline));
 }
 
-asio::awaitable<Outcome<VmList>> PlatformClient::Vms(TimePoint deadline) {
+asio::awaitable<Outcome<PlatformClient::TaggedVmList>> PlatformClient::Vms(std::string known_tag,
+                                                                           TimePoint deadline) {
   auto message = MakeRequest("GET", "/v1/vms", "");
-  co_return cardamom::Read<VmList>(co_await Send(std::move(message), deadline));
+  if (!known_tag.empty()) {
+    message.headers.push_back({"If-None-Match", known_tag});
+  }
+  const auto response = co_await Send(std::move(message), deadline);
+  if (!response) {
+    co_return response.error();
+  }
+  TaggedVmList tagged;
+  if (response->status == kStatusNotModified) {
+    tagged.tag = known_tag;
+    co_return tagged;
+  }
+  auto list = cardamom::Read<VmList>(response);
+  if (!list) {
+    co_return list.error();
+  }
+  if (const auto tag = response->Header("ETag")) {
+    tagged.tag = *tag;
+  }
+  tagged.list = std::move(*list);
+  co_return tagged;
 }
 
 }  // namespace cardamom
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http/connection_pool.h"
@@ -17,7 +18,14 @@
 
   asio::awaitable<Outcome<TransactAnswer>> Transact(TransactRequest request, TimePoint deadline);
   asio::awaitable<Outcome<TableReadAnswer>> Read(TableReadRequest request, TimePoint deadline);
-  asio::awaitable<Outcome<VmList>> Vms(TimePoint deadline);
+
+  // The VM list and the tag of its version.
+  struct TaggedVmList {
+    std::string tag;
+    // Nothing if the list is still the one that `known_tag` names.
+    std::optional<VmList> list;
+  };
+  asio::awaitable<Outcome<TaggedVmList>> Vms(std::string known_tag, TimePoint deadline);
 
  private:
   asio::awaitable<Outcome<HttpResponse>> Send(HttpRequest request, TimePoint deadline);
--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -10,7 +10,7 @@
 
 constexpr Millis kAnswerTimeout{400};
 constexpr Millis kVmListInterval{1000};
-// Once the list names this VM, changes are rare and the list is long.
+// Once the list names this VM, changes are rare.
 constexpr Millis kSettledVmListInterval{5000};
 constexpr std::size_t kPeersAsked = 3;
 constexpr std::size_t kMeetingsKept = 9;
@@ -276,10 +276,14 @@
 }
 
 asio::awaitable<void> ConfigFollower::FollowVms() {
+  std::string tag;
   while (!m_stopped) {
-    const auto list = co_await m_platform.Vms(Clock::now() + kAnswerTimeout);
-    if (list && m_membership.Update(*list)) {
-      m_peers.Keep(list->vms);
+    const auto answer = co_await m_platform.Vms(tag, Clock::now() + kAnswerTimeout);
+    if (answer) {
+      tag = answer->tag;
+    }
+    if (answer && answer->list && m_membership.Update(*answer->list)) {
+      m_peers.Keep(answer->list->vms);
       m_on_change();
     }
     const bool listed =
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -53,7 +53,8 @@
   if (faults.delay_ms > 0) {
     co_await Sleep(Millis(faults.delay_ms));
   }
-  if (faults.outage) {
+  const bool is_list = request.target == "/v1/vms";
+  if (is_list ? faults.list_outage : faults.outage) {
     co_return ErrorAnswer(Unavailable());
   }
   const std::lock_guard lock(m_mutex);
@@ -73,7 +74,7 @@
     return HandleRead(request);
   }
   if (request.target == "/v1/vms") {
-    return HandleVms();
+    return HandleVms(request);
   }
   if (request.target.starts_with(kObjectPrefix)) {
     return HandleObject(request);
@@ -155,13 +156,22 @@
   return JsonAnswer(answer);
 }
 
-HttpResponse PlatformServer::HandleVms() {
+HttpResponse PlatformServer::HandleVms(const HttpRequest& request) {
   ++m_reads;
   const auto visible = Clock::now() - Millis(m_faults.list_lag_ms);
   while (m_vm_lists.size() > 1 && m_vm_lists[1].since <= visible) {
     m_vm_lists.pop_front();
+    ++m_list_number;
   }
-  return JsonAnswer(m_vm_lists.empty() ? VmList{} : m_vm_lists.front().list);
+  const auto tag = "\"" + std::to_string(m_list_number) + (m_vm_lists.empty() ? "e" : "") + "\"";
+  HttpResponse response;
+  if (request.Header("If-None-Match") == tag) {
+    response.status = 304;
+  } else {
+    response = JsonAnswer(m_vm_lists.empty() ? VmList{} : m_vm_lists.front().list);
+  }
+  response.headers.push_back({"ETag", tag});
+  return response;
 }
 
 HttpResponse PlatformServer::HandleObject(const HttpRequest& request) {
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -16,8 +16,10 @@
 
 // Faults of the platform stand-in, set over POST /admin/faults.
 struct PlatformFaults {
-  // Every request fails.
+  // Requests to the table and the object store fail; the VM list is another service.
   bool outage = false;
+  // The VM list fails too.
+  bool list_outage = false;
   // Delay before each request takes effect.
   std::int64_t delay_ms = 0;
   // Number of answers to changes to lose after their effect.
@@ -27,7 +29,9 @@
   // Ids of VMs whose requests get no answer.
   std::vector<std::string> cut;
 };
-BOOST_DESCRIBE_STRUCT(PlatformFaults, (), (outage, delay_ms, lose_answers, list_lag_ms, cut))
+BOOST_DESCRIBE_STRUCT(PlatformFaults,
+                      (),
+                      (outage, list_outage, delay_ms, lose_answers, list_lag_ms, cut))
 
 // Thread safe.
 class PlatformServer {
@@ -50,7 +54,7 @@
   HttpResponse HandleAdmin(const HttpRequest& request);
   HttpResponse HandleTransact(const HttpRequest& request);
   HttpResponse HandleRead(const HttpRequest& request);
-  HttpResponse HandleVms();
+  HttpResponse HandleVms(const HttpRequest& request);
   HttpResponse HandleObject(const HttpRequest& request);
 
   std::mutex m_mutex;
@@ -58,6 +62,7 @@
   std::map<std::string, TableRow> m_rows;
   std::map<std::string, std::string> m_objects;
   std::deque<DatedVmList> m_vm_lists;
+  std::uint64_t m_list_number = 0;
   std::uint64_t m_last_version = 0;
   std::uint64_t m_reads = 0;
   std::uint64_t m_writes = 0;
