--- a/bench/scenarios/scenarios.cc
+++ b/bench/scenarios/scenarios.cc
@@ -17,7 +17,6 @@
 constexpr double kCeneriRate = 900;
 constexpr double kAssociationRate = 400;
 constexpr Millis kSettle{1500};
-constexpr Millis kPatience{20'000};
 
 std::vector<Address> CallersOf(Cluster& cluster) {
   std::vector<Address> callers;
@@ -450,6 +449,38 @@
   report.Add("added_latency_p99", at(with, 0.99) - at(without, 0.99), "ms", Bound::kAtMost, 2);
 }
 
+void MeasureDataPath(const BenchScale& scale, Report& report) {
+  constexpr std::size_t kConnections = 2000;
+  auto cluster = StartSite({.proxies = 1}, 1);
+  const auto pid = cluster->proxy(0).process->pid();
+  auto options = LoadOf(*cluster, "data path", 1500, 1);
+  options.duration = scale.run;
+  const auto before = UsageOf(pid);
+  auto result = RunLoad(options);
+  const auto after = UsageOf(pid);
+  report.Note(
+      "cpu_a_statement",
+      (after.cpu_seconds - before.cpu_seconds) * 1e6 / static_cast<double>(result.samples.size()),
+      "us");
+  report.Keep(std::move(result));
+
+  std::vector<std::unique_ptr<BlockingClient>> clients;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    clients.push_back(std::make_unique<BlockingClient>(cluster->proxy(0).callers));
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/groups/s0/read";
+    request.body = R"({"sql":"SELECT 1","max_age_ms":1000})";
+    clients.back()->Send(request, Millis(2000));
+  }
+  const auto with = UsageOf(pid);
+  report.Note(
+      "memory_a_caller_connection",
+      (static_cast<double>(with.resident_bytes) - static_cast<double>(after.resident_bytes)) /
+          1000 / static_cast<double>(kConnections),
+      "KB");
+}
+
 void MeasureIdleCost(const BenchScale& scale, Report& report) {
   SiteProfile profile;
   profile.proxies = scale.idle_proxies;
--- a/bench/scenarios/scenarios.h
+++ b/bench/scenarios/scenarios.h
@@ -26,6 +26,8 @@
 void MeasureOverload(const BenchScale& scale, Report& report);
 void MeasureConnections(const BenchScale& scale, Report& report);
 void MeasureAddedLatency(const BenchScale& scale, Report& report);
+// Processor time a statement and memory a caller connection, for docs/CAPACITY.md.
+void MeasureDataPath(const BenchScale& scale, Report& report);
 void MeasureIdleCost(const BenchScale& scale, Report& report);
 // Idle cost at several numbers of proxies and groups, for docs/CAPACITY.md.
 void MeasureSlopes(const BenchScale& scale, Report& report);
--- a/src/proxy/group.cc
+++ b/src/proxy/group.cc
@@ -8,9 +8,9 @@
 namespace cardamom {
 namespace {
 
-constexpr Millis kLongPoll{2000};
+constexpr Millis kLongPoll{5000};
 // A steward notices the silence of a primary by a shorter poll.
-constexpr Millis kPrimaryPoll{500};
+constexpr Millis kPrimaryPoll{1000};
 constexpr Millis kLongPollMargin{300};
 constexpr Millis kQuestionTimeout{300};
 // Pause between two answers to a watch loop while nobody waits for news.
--- a/src/proxy/steward.cc
+++ b/src/proxy/steward.cc
@@ -15,12 +15,6 @@
 // Stewards up to this rank hold a reserved term.
 constexpr std::size_t kReservingRanks = 2;
 constexpr Millis kTableTimeout{400};
-constexpr Millis kFenceTimeout{400};
-// Wait for further fence answers once a majority of every set has answered.
-constexpr Millis kFenceGrace{20};
-constexpr Millis kCopyTimeout{1500};
-constexpr Millis kCopyPoll{5};
-constexpr Millis kPromoteTimeout{500};
 constexpr Millis kFollowTimeout{300};
 constexpr Millis kSpreadInterval{200};
 constexpr Millis kRowInterval{500};
@@ -37,17 +31,6 @@
 
 }  // namespace
 
-struct Steward::FenceRound {
-  std::mutex mutex;
-  PromotionPlan& plan;
-  std::size_t pending = 0;
-  std::optional<TimePoint> fenced_at;
-  bool ended = false;
-  Notifier changed;
-
-  explicit FenceRound(PromotionPlan& for_plan) : plan(for_plan) {}
-};
-
 Steward::Steward(ProxyContext& context,
                  std::shared_ptr<Group> group,
                  Membership& membership,
@@ -58,6 +41,7 @@
       m_membership(membership),
       m_store(platform, m_group->id()),
       m_owner(RandomId()),
+      m_promoter(std::make_shared<Promoter>(context, m_group)),
       m_ask_peers(std::move(ask_peers)),
       m_options{Millis(context.settings.suspect_refused_ms),
                 Millis(context.settings.suspect_silence_ms),
@@ -474,27 +458,14 @@
   if (!task) {
     co_return false;
   }
+  const auto term = task->allocation.term;
   PromotionPlan plan(std::move(*task), std::move(eligible), std::move(suspect));
-  const auto give_up = [&](const char* why) {
-    m_context.events.Emit(EventCode::kPromotionFailed,
-                          {.group = m_group->id(), .term = plan.allocation().term, .detail = why});
-    return false;
-  };
-  if (!plan.CanFinish(Reachable())) {
-    co_return give_up("too few servers are reachable");
-  }
-  if (!co_await Fence(plan)) {
-    co_return give_up("too few servers were fenced");
-  }
-  const auto candidate = plan.Candidate();
-  if (!candidate) {
-    co_return give_up("no eligible voter was fenced");
-  }
-  if (!co_await CopyLog(plan, *candidate)) {
-    co_return give_up("the log could not be copied");
-  }
-  if (!co_await Open(plan, *candidate)) {
-    co_return give_up("the candidate did not open the term");
+  const auto promoted = co_await m_promoter->Run(plan, Reachable());
+  if (!promoted) {
+    m_context.events.Emit(
+        EventCode::kPromotionFailed,
+        {.group = m_group->id(), .term = term, .detail = promoted.error().detail});
+    co_return false;
   }
   const char* label = reason == Reason::kFailure     ? "failure"
                       : reason == Reason::kBootstrap ? "bootstrap"
@@ -506,106 +477,4 @@
   co_return true;
 }
 
-asio::awaitable<bool> Steward::Fence(PromotionPlan& plan) {
-  const auto round = std::make_shared<FenceRound>(plan);
-  const auto term = plan.allocation().term;
-  const auto deadline = Clock::now() + kFenceTimeout;
-  const auto targets = plan.Targets();
-  round->pending = targets.size();
-  for (const auto& id : targets) {
-    const auto endpoint = m_group->Find(id);
-    Spawn(m_context.io,
-          [self = shared_from_this(), round, endpoint, id, term,
-           deadline]() -> asio::awaitable<void> {
-            std::optional<Outcome<ServerState>> state;
-            if (endpoint != nullptr) {
-              const FenceRequest request{term};
-              state = co_await endpoint->client->Fence(request, deadline);
-            }
-            {
-              const std::lock_guard lock(round->mutex);
-              --round->pending;
-              // The plan is gone once the round has ended.
-              if (state && *state && !round->ended) {
-                round->plan.OnFenced(id, (*state)->last);
-                if (round->plan.IsFenced() && !round->fenced_at) {
-                  round->fenced_at = Clock::now();
-                }
-              }
-            }
-            if (state && *state) {
-              self->m_context.events.Emit(EventCode::kServerFenced,
-                                          {.group = self->m_group->id(),
-                                           .endpoint = id,
-                                           .term = term,
-                                           .index = (*state)->last.index});
-            }
-            round->changed.NotifyAll();
-          });
-  }
-  const auto finished = [&] {
-    const std::lock_guard lock(round->mutex);
-    return round->pending == 0 || round->fenced_at.has_value();
-  };
-  co_await round->changed.WaitUntil(finished, deadline);
-  const auto all_answered = [&] {
-    const std::lock_guard lock(round->mutex);
-    return round->pending == 0;
-  };
-  // A server that answers a little later may hold the log already and spare the copy.
-  co_await round->changed.WaitUntil(all_answered, std::min(deadline, Clock::now() + kFenceGrace));
-  const std::lock_guard lock(round->mutex);
-  round->ended = true;
-  co_return plan.IsFenced();
-}
-
-asio::awaitable<bool> Steward::CopyLog(const PromotionPlan& plan, const EndpointId& candidate) {
-  const auto best = plan.Best();
-  const auto target = m_group->Find(candidate);
-  const auto source = m_group->Find(plan.Source());
-  if (target == nullptr || source == nullptr) {
-    co_return false;
-  }
-  const auto term = plan.allocation().term;
-  const auto deadline = Clock::now() + kCopyTimeout;
-  bool asked = false;
-  while (Clock::now() < deadline) {
-    const StateRequest question;
-    const auto state = co_await target->client->State(question, deadline);
-    if (state && state->last == best) {
-      co_return true;
-    }
-    if (!asked) {
-      FollowRequest request{term, source->spec.address, best};
-      const auto copying = co_await target->client->Follow(std::move(request), deadline);
-      asked = copying.has_value();
-    }
-    co_await Sleep(kCopyPoll);
-  }
-  co_return false;
-}
-
-asio::awaitable<bool> Steward::Open(const PromotionPlan& plan, const EndpointId& candidate) {
-  const auto target = m_group->Find(candidate);
-  if (target == nullptr) {
-    co_return false;
-  }
-  const auto& allocation = plan.allocation();
-  const auto sent = Clock::now();
-  PromoteRequest request;
-  request.term = allocation.term;
-  request.last = plan.Best();
-  request.note = Encode(TermNote{candidate, allocation.voters});
-  const auto state = co_await target->client->Promote(std::move(request), sent + kPromoteTimeout);
-  if (!state) {
-    co_return false;
-  }
-  m_context.events.Emit(EventCode::kPrimaryPromoted, {.group = m_group->id(),
-                                                      .endpoint = candidate,
-                                                      .term = allocation.term,
-                                                      .index = state->start});
-  m_group->ObserveState(*state, sent);
-  co_return true;
-}
-
 }  // namespace cardamom
--- a/src/proxy/steward.h
+++ b/src/proxy/steward.h
@@ -10,6 +10,7 @@
 #include "failover/suspicion.h"
 #include "proxy/group.h"
 #include "proxy/membership.h"
+#include "proxy/promoter.h"
 #include "proxy/term_store.h"
 
 namespace cardamom {
@@ -34,9 +35,6 @@
  private:
   enum class Reason { kFailure, kBootstrap, kSwitchover };
 
-  // What the coroutines of one promotion share.
-  struct FenceRound;
-
   asio::awaitable<void> Run();
   asio::awaitable<void> Step();
   asio::awaitable<void> WatchPrimary(std::size_t rank);
@@ -55,9 +53,6 @@
                                 std::vector<EndpointId> eligible,
                                 std::optional<EndpointId> suspect = std::nullopt);
   asio::awaitable<std::optional<PromotionTask>> TakeTerm(Reason reason);
-  asio::awaitable<bool> Fence(PromotionPlan& plan);
-  asio::awaitable<bool> CopyLog(const PromotionPlan& plan, const EndpointId& candidate);
-  asio::awaitable<bool> Open(const PromotionPlan& plan, const EndpointId& candidate);
   // Makes every server follow the current primary.
   void SpreadTerm();
   asio::awaitable<void> UpdateRow(std::size_t rank);
@@ -74,6 +69,7 @@
   TermStore m_store;
   // Owner of the terms that this steward allocates; unique to it.
   const std::string m_owner;
+  const std::shared_ptr<Promoter> m_promoter;
   const AskPeers m_ask_peers;
   const SuspicionOptions m_options;
   std::atomic<bool> m_stopped{false};
--- a/src/proxy/transaction_service.cc
+++ b/src/proxy/transaction_service.cc
@@ -109,11 +109,11 @@
 
 asio::awaitable<Outcome<TransactionService::Commit>>
 TransactionService::CommitAndConfirm(TransactionId id, IdempotencyKey key, TimePoint deadline) {
-  const auto taken = Take(id);
+  auto taken = Take(id);
   if (!taken) {
     co_return taken.error();
   }
-  const auto entry = *taken;
+  const auto entry = std::move(*taken);
   const auto group = entry->group;
   WriteRequest request;
   request.term = entry->term;
--- a/src/routing/read_router.cc
+++ b/src/routing/read_router.cc
@@ -76,6 +76,7 @@
     replicas.insert(primary_first ? replicas.begin() : replicas.end(), *primary);
   }
   std::vector<ReadChoice> choices;
+  choices.reserve(replicas.size());
   for (const auto& ranked : replicas) {
     choices.push_back(ranked.choice);
   }
--- a/tools/cardamom_bench.cc
+++ b/tools/cardamom_bench.cc
@@ -17,18 +17,14 @@
 using Measurement = void (*)(const BenchScale&, Report&);
 
 const std::vector<std::pair<std::string, Measurement>>& Measurements() {
-  static const std::vector<std::pair<std::string, Measurement>> kMeasurements = {
-      {"replica-share", &MeasureReplicaShare},
-      {"failover", &MeasureFailover},
-      {"slow-spells", &MeasureSlowSpells},
-      {"switchover", &MeasureSwitchover},
-      {"overload", &MeasureOverload},
-      {"connections", &MeasureConnections},
-      {"added-latency", &MeasureAddedLatency},
-      {"idle-cost", &MeasureIdleCost},
-      {"slopes", &MeasureSlopes},
+  static const std::vector<std::pair<std::string, Measurement>> measurements = {
+      {"replica-share", &MeasureReplicaShare}, {"failover", &MeasureFailover},
+      {"slow-spells", &MeasureSlowSpells},     {"switchover", &MeasureSwitchover},
+      {"overload", &MeasureOverload},          {"connections", &MeasureConnections},
+      {"added-latency", &MeasureAddedLatency}, {"data-path", &MeasureDataPath},
+      {"idle-cost", &MeasureIdleCost},         {"slopes", &MeasureSlopes},
   };
-  return kMeasurements;
+  return measurements;
 }
 
 }  // namespace
--- a/tools/cardamomctl.cc
+++ b/tools/cardamomctl.cc
@@ -17,13 +17,13 @@
 using Command = int (*)(const CtlOptions&);
 
 const std::map<std::string, Command>& Commands() {
-  static const std::map<std::string, Command> kCommands = {
+  static const std::map<std::string, Command> commands = {
       {"check", &cardamom::CheckRecord},    {"submit", &cardamom::ChangeRecord},
       {"replace", &cardamom::ChangeRecord}, {"withdraw", &cardamom::ChangeRecord},
       {"list", &cardamom::ListRecords},     {"show", &cardamom::ShowRecord},
       {"status", &cardamom::ShowStatus},    {"timeline", &cardamom::ShowTimeline},
   };
-  return kCommands;
+  return commands;
 }
 
 std::vector<std::string> SplitList(const std::string& text) {
