--- a/src/endpoint/endpoint_client.cc
+++ b/src/endpoint/endpoint_client.cc
@@ -45,6 +45,14 @@
   return answer;
 }
 
+// Sends one request over a pooled connection and reads the answer as a T.
+template <typename T>
+asio::awaitable<Outcome<T>> Call(std::shared_ptr<ConnectionPool> pool,
+                                 HttpRequest message,
+                                 TimePoint deadline) {
+  co_return Read<T>(co_await pool->Send(std::move(message), deadline));
+}
+
 asio::awaitable<Outcome<void>> Login(std::string from,
                                      HttpConnection& connection,
                                      TimePoint deadline) {
@@ -72,42 +80,35 @@
 
 asio::awaitable<Outcome<ServerState>> EndpointClient::State(StateRequest request,
                                                             TimePoint deadline) {
-  auto message = Post("/v1/state", m_from, Encode(request));
-  co_return cardamom::Read<ServerState>(co_await m_control->Send(std::move(message), deadline));
+  return Call<ServerState>(m_control, Post("/v1/state", m_from, Encode(request)), deadline);
 }
 
 asio::awaitable<Outcome<ReadAnswer>> EndpointClient::Read(ReadRequest request, TimePoint deadline) {
-  auto message = Post("/v1/read", m_from, Encode(request));
-  co_return cardamom::Read<ReadAnswer>(co_await m_work->Send(std::move(message), deadline));
+  return Call<ReadAnswer>(m_work, Post("/v1/read", m_from, Encode(request)), deadline);
 }
 
 asio::awaitable<Outcome<WriteAnswer>> EndpointClient::Write(WriteRequest request,
                                                             TimePoint deadline) {
-  auto message = Post("/v1/write", m_from, Encode(request));
-  co_return cardamom::Read<WriteAnswer>(co_await m_work->Send(std::move(message), deadline));
+  return Call<WriteAnswer>(m_work, Post("/v1/write", m_from, Encode(request)), deadline);
 }
 
 asio::awaitable<Outcome<KeyAnswer>> EndpointClient::Key(KeyRequest request, TimePoint deadline) {
-  auto message = Post("/v1/key", m_from, Encode(request));
-  co_return cardamom::Read<KeyAnswer>(co_await m_work->Send(std::move(message), deadline));
+  return Call<KeyAnswer>(m_work, Post("/v1/key", m_from, Encode(request)), deadline);
 }
 
 asio::awaitable<Outcome<ServerState>> EndpointClient::Fence(FenceRequest request,
                                                             TimePoint deadline) {
-  auto message = Post("/v1/fence", m_from, Encode(request));
-  co_return cardamom::Read<ServerState>(co_await m_control->Send(std::move(message), deadline));
+  return Call<ServerState>(m_control, Post("/v1/fence", m_from, Encode(request)), deadline);
 }
 
 asio::awaitable<Outcome<ServerState>> EndpointClient::Promote(PromoteRequest request,
                                                               TimePoint deadline) {
-  auto message = Post("/v1/promote", m_from, Encode(request));
-  co_return cardamom::Read<ServerState>(co_await m_control->Send(std::move(message), deadline));
+  return Call<ServerState>(m_control, Post("/v1/promote", m_from, Encode(request)), deadline);
 }
 
 asio::awaitable<Outcome<ServerState>> EndpointClient::Follow(FollowRequest request,
                                                              TimePoint deadline) {
-  auto message = Post("/v1/follow", m_from, Encode(request));
-  co_return cardamom::Read<ServerState>(co_await m_control->Send(std::move(message), deadline));
+  return Call<ServerState>(m_control, Post("/v1/follow", m_from, Encode(request)), deadline);
 }
 
 asio::awaitable<Outcome<std::unique_ptr<EndpointClient::Transaction>>> EndpointClient::Begin(
