--- a/src/proxy/caller_api.cc
+++ b/src/proxy/caller_api.cc
@@ -18,7 +18,6 @@
 constexpr std::string_view kDeadlineHeader = "Cardamom-Deadline-Ms";
 constexpr std::size_t kMaxKeyLength = 200;
 constexpr std::int64_t kMaxAgeMs = 3'600'000;
-constexpr std::string_view kAbortFingerprint = "aborted";
 
 // Operations by the last segment of their path.
 constexpr const char* kRead = "read";
--- a/src/proxy/group.cc
+++ b/src/proxy/group.cc
@@ -73,7 +73,7 @@
   for (const auto& spec : m_record.endpoints) {
     auto& runtime = m_endpoints[spec.id];
     if (runtime != nullptr && runtime->spec.address == spec.address) {
-      runtime->spec = spec;
+      runtime->leaving = spec.leaving;
       if (!spec.leaving) {
         runtime->leaving_since.reset();
         runtime->client->work_pool().SetMax(m_connection_share);
@@ -103,7 +103,7 @@
 
 void Group::ReleaseLeaving() {
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (endpoint->spec.leaving && m_view.primary() != id) {
+    if (endpoint->leaving && m_view.primary() != id) {
       endpoint->client->work_pool().SetMax(0);
     }
   }
@@ -118,8 +118,7 @@
 }
 
 std::shared_ptr<EndpointRuntime> Group::MakeRuntime(const EndpointSpec& spec) const {
-  auto runtime = std::make_shared<EndpointRuntime>();
-  runtime->spec = spec;
+  auto runtime = std::make_shared<EndpointRuntime>(spec);
   if (spec.leaving) {
     runtime->leaving_since = Clock::now();
   }
@@ -144,7 +143,7 @@
   const std::lock_guard lock(m_mutex);
   std::vector<std::shared_ptr<EndpointRuntime>> serving;
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (!endpoint->spec.leaving) {
+    if (!endpoint->leaving) {
       serving.push_back(endpoint);
     }
   }
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -27,12 +27,18 @@
 
 // An endpoint of the group with its adapter and limits.
 struct EndpointRuntime {
-  EndpointSpec spec;
+  explicit EndpointRuntime(EndpointSpec endpoint)
+      : spec(std::move(endpoint)), leaving(spec.leaving) {}
+
+  // As first seen; `leaving` has the present state.
+  const EndpointSpec spec;
+  std::atomic<bool> leaving;
   std::shared_ptr<EndpointClient> client;
   std::shared_ptr<EndpointGate> gate;
   std::atomic<Duration::rep> round_trip{0};
   std::atomic<bool> dropped{false};
-  // When this proxy learned that the endpoint leaves; nothing while it serves.
+  // When this proxy learned that the endpoint leaves; nothing while it serves. Guarded by the
+  // group.
   std::optional<TimePoint> leaving_since;
 };
 
@@ -121,7 +127,8 @@
   std::shared_ptr<EndpointRuntime> MakeRuntime(const EndpointSpec& spec) const;
   void Watch(const std::shared_ptr<EndpointRuntime>& endpoint);
   asio::awaitable<void> WatchLoop(std::shared_ptr<EndpointRuntime> endpoint);
-  // Requires nothing. One state question.
+  // Asks one endpoint for its state; as a long poll if `wait` is positive. Returns whether it
+  // answered.
   asio::awaitable<bool> Ask(std::shared_ptr<EndpointRuntime> endpoint, Millis wait);
   bool IsActive() const;
   bool HasEnded() const;
--- a/src/proxy/operations_api.cc
+++ b/src/proxy/operations_api.cc
@@ -35,7 +35,7 @@
 EndpointStatus StatusOf(const EndpointRuntime& endpoint, const GroupView& view) {
   EndpointStatus status;
   status.endpoint = endpoint.spec.id;
-  status.leaving = endpoint.spec.leaving;
+  status.leaving = endpoint.leaving;
   status.primary = view.primary() == endpoint.spec.id;
   const auto& voters = view.voters();
   status.voter = std::find(voters.begin(), voters.end(), endpoint.spec.id) != voters.end();
--- a/src/proxy/steward.cc
+++ b/src/proxy/steward.cc
@@ -393,6 +393,7 @@
   const bool same_voters =
       std::is_permutation(current->begin(), current->end(), voters.begin(), voters.end());
   if (same_voters && !co_await IsLeavingEndpointHeldBack()) {
+    m_switchover_wanted_since.reset();
     co_return;
   }
   if (co_await HasTransactionsToWaitFor()) {
--- a/src/proxy/write_service.cc
+++ b/src/proxy/write_service.cc
@@ -13,7 +13,6 @@
 
 constexpr Millis kRetryPause{10};
 constexpr Millis kMaxRetryPause{200};
-constexpr std::string_view kAbortFingerprint = "aborted";
 
 // Backs off with the attempt number.
 Millis PauseAfter(int attempts) {
--- a/src/proxy/write_service.h
+++ b/src/proxy/write_service.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "proxy/group.h"
 
@@ -20,6 +21,9 @@
   bool replayed = false;
 };
 
+// Fingerprint of a key that was used up so that a commit cannot take effect any more.
+inline constexpr std::string_view kAbortFingerprint = "aborted";
+
 // Hash of a statement; a key may only be used again with the same one. Thread safe.
 std::string FingerprintOf(const Statement& statement);
 
--- a/tools/cardamom_demo.cc
+++ b/tools/cardamom_demo.cc
@@ -56,7 +56,7 @@
                         "pickup-2");
   const auto gap = cardamom::ToMillis(Clock::now() - killed).count();
   Step(reply.ok(), "primary " + old_primary + " killed; the next write was acknowledged " +
-                       std::to_string(gap) + " ms later by " + cluster.PrimaryOf("bookings"));
+                       std::to_string(gap) + " ms later by " + cluster.PrimaryOf("bookings", 1));
   reply = session.Read(cluster.proxy(0).callers, "SELECT count(*) FROM pickups");
   Step(reply.ok() && reply.result.rows.size() == 1 && reply.result.rows[0][0] == 2,
        "both pickups read through proxy 0, served by " + ServedBy(reply));
--- a/tools/cardamom_load.cc
+++ b/tools/cardamom_load.cc
@@ -3,26 +3,17 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <sstream>
 
 #include <boost/program_options.hpp>
 
 #include "bench/load/load_generator.h"
+#include "core/split.h"
 
 namespace {
 
 namespace po = boost::program_options;
 using namespace cardamom;
 
-std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> items;
-  std::istringstream stream(text);
-  for (std::string item; std::getline(stream, item, ',');) {
-    items.push_back(item);
-  }
-  return items;
-}
-
 int Compare(const std::vector<std::string>& files, const std::string& html) {
   std::vector<LoadResult> results;
   for (const auto& path : files) {
--- a/tools/cardamomctl.cc
+++ b/tools/cardamomctl.cc
@@ -2,10 +2,10 @@
 #include <cstdlib>
 #include <iostream>
 #include <map>
-#include <sstream>
 
 #include <boost/program_options.hpp>
 
+#include "core/split.h"
 #include "tools/ctl/record_commands.h"
 #include "tools/ctl/status_commands.h"
 
@@ -26,15 +26,6 @@
   return commands;
 }
 
-std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> items;
-  std::istringstream stream(text);
-  for (std::string item; std::getline(stream, item, ',');) {
-    items.push_back(item);
-  }
-  return items;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -78,6 +69,6 @@
     const char* text = std::getenv("CARDAMOM_PROXIES");
     proxies = text == nullptr ? "" : text;
   }
-  options.proxies = SplitList(proxies);
+  options.proxies = cardamom::SplitList(proxies);
   return command->second(options);
 }
