--- a/bench/cluster/cluster.h
+++ b/bench/cluster/cluster.h
@@ -9,9 +9,9 @@
 #include "bench/cluster/process.h"
 #include "cardamom/group_record.h"
 #include "http/blocking_client.h"
-#include "platform/platform_messages.h"
 #include "proxy/operations_api.h"
 #include "standin/endpoint_faults.h"
+#include "table/platform_messages.h"
 
 namespace cardamom {
 
--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -14,6 +14,9 @@
   kProcessStopped = 102,
   kReady = 103,
   kNotReady = 104,
+  kSettingsReloaded = 105,
+  kSettingsRefused = 106,
+  kLogLinesDropped = 107,
   // 2xx: configuration.
   kConfigAdopted = 200,
   kRecordSubmitted = 201,
@@ -31,16 +34,23 @@
   kTermReserved = 307,
   kSwitchoverStarted = 308,
   kReservedTermUsed = 309,
+  kPromotionOrdered = 310,
+  kPrimaryLostLead = 311,
   // 4xx: requests.
   kWriteWaited = 400,
   kOutcomeUnknown = 401,
   kTransactionAbandoned = 402,
   kReadWentToPrimary = 403,
   kRequestRefused = 404,
+  kStatementAnswered = 405,
+  kStatementRefused = 406,
+  kDatabaseUnknown = 407,
   // 5xx: connections.
   kEndpointUnreachable = 500,
   kEndpointReachable = 501,
   kEndpointDropped = 502,
+  kEndpointListed = 503,
+  kEndpointLeaving = 504,
 };
 
 struct EventCodeInfo {
--- a/src/events/event_log.cc
+++ b/src/events/event_log.cc
@@ -1,5 +1,7 @@
 #include "events/event_log.h"
 
+#include <unistd.h>
+
 #include <memory>
 #include <utility>
 
@@ -11,6 +13,7 @@
 #include <log4cplus/loggingmacros.h>
 
 #include "core/clock.h"
+#include "events/bounded_appender.h"
 
 namespace cardamom {
 namespace {
@@ -47,13 +50,11 @@
   return line;
 }
 
-}  // namespace
+// Owned by the root logger.
+BoundedAppender* g_bounded = nullptr;
 
-EventLog::EventLog(VmId vm, std::size_t capacity) : m_vm(std::move(vm)), m_capacity(capacity) {}
-
-void EventLog::ConfigureLogging(LogFormat format, const std::string& level) {
+void Configure(LogFormat format, const std::string& level, log4cplus::SharedAppenderPtr appender) {
   g_format = format;
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       format == LogFormat::kJson ? "%m%n" : "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
   auto root = log4cplus::Logger::getRoot();
@@ -62,6 +63,31 @@
   root.setLogLevel(LevelOf(level));
 }
 
+}  // namespace
+
+EventLog::EventLog(VmId vm, std::size_t capacity) : m_vm(std::move(vm)), m_capacity(capacity) {}
+
+void EventLog::ConfigureLogging(LogFormat format, const std::string& level) {
+  Configure(format, level,
+            log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)));
+}
+
+void EventLog::ConfigureBoundedLogging(LogFormat format,
+                                       const std::string& level,
+                                       std::size_t queue_bytes) {
+  g_bounded = new BoundedAppender(STDOUT_FILENO, queue_bytes);
+  Configure(format, level, log4cplus::SharedAppenderPtr(g_bounded));
+}
+
+void EventLog::SetLevel(const std::string& level) {
+  log4cplus::Logger::getRoot().setLogLevel(LevelOf(level));
+}
+
+void EventLog::FlushLog() {
+  if (g_bounded != nullptr) {
+    g_bounded->Flush();
+  }
+}
 void EventLog::Advance() {
   const auto wall = WallMillis();
   if (wall > m_time_ms) {
--- a/src/events/event_log.h
+++ b/src/events/event_log.h
@@ -46,6 +46,16 @@
   // Sets up the process-wide logger. `level` is one of debug, info, warn, error.
   static void ConfigureLogging(LogFormat format, const std::string& level);
 
+  // As ConfigureLogging, but lines wait in a queue of at most `queue_bytes` and no call ever waits
+  // for the reader: lines beyond the queue are dropped and counted.
+  static void ConfigureBoundedLogging(LogFormat format,
+                                      const std::string& level,
+                                      std::size_t queue_bytes);
+  // Changes the level of the process-wide logger. Thread safe.
+  static void SetLevel(const std::string& level);
+  // Writes what the reader takes at once. Thread safe.
+  static void FlushLog();
+
   // Logs the event and adds it to the ring.
   void Emit(EventCode code, const EventSubject& subject = {});
 
--- /dev/null
+++ b/src/gateway/caller_session.cc
@@ -0,0 +1,191 @@
+#include "gateway/caller_session.h"
+
+#include <fmt/format.h>
+
+namespace cardamom {
+
+CallerSession::CallerSession(GatewayContext& context,
+                             const Directory& directory,
+                             StatementRunner& runner,
+                             DatabaseName database)
+    : m_context(context),
+      m_directory(directory),
+      m_runner(runner),
+      m_database(std::move(database)) {}
+
+StatementTask CallerSession::TaskFor(const Statement& statement, const Route& route) const {
+  // The reads of a transaction may be as old as its beginning allows.
+  const auto first_byte = m_state == SessionState::kInTransaction ? m_begun_at : m_first_byte;
+  return {statement, m_caller, route, m_received, first_byte, m_received + route.statement_timeout};
+}
+
+asio::awaitable<Reply> CallerSession::Execute(Statement statement) {
+  m_busy = true;
+  m_received = Clock::now();
+  m_first_byte = BootClock::now();
+  auto reply = co_await Dispatch(statement);
+  m_state = reply.state;
+  m_last_used = Clock::now();
+  m_busy = false;
+  co_return reply;
+}
+
+asio::awaitable<Reply> CallerSession::Dispatch(const Statement& statement) {
+  if (statement.kind == StatementKind::kRollback) {
+    co_return co_await Rollback();
+  }
+  if (m_state == SessionState::kFailed) {
+    if (statement.kind == StatementKind::kCommit) {
+      co_return ErrorReply(StatementError::kAborted, "the transaction failed and is rolled back",
+                           SessionState::kIdle);
+    }
+    co_return ErrorReply(StatementError::kMalformed, "the transaction failed",
+                         SessionState::kFailed);
+  }
+  if (auto local = AnswerLocally(statement)) {
+    co_return std::move(*local);
+  }
+  switch (statement.kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      co_return Begin(statement);
+    case StatementKind::kCommit:
+      co_return co_await Commit(statement);
+    default:
+      break;
+  }
+  if (m_state == SessionState::kInTransaction) {
+    co_return co_await RunInside(statement);
+  }
+  co_return co_await RunOutside(statement);
+}
+
+std::optional<Reply> CallerSession::AnswerLocally(const Statement& statement) {
+  switch (statement.kind) {
+    case StatementKind::kSetValue:
+      m_caller.values[statement.name] = statement.value;
+      return LocalReply(m_state);
+    case StatementKind::kPrepare:
+      m_caller.prepared[statement.name] = {statement.access, statement.value};
+      return LocalReply(m_state);
+    case StatementKind::kDeallocate:
+      m_caller.prepared.erase(statement.name);
+      return LocalReply(m_state);
+    case StatementKind::kExecute:
+      if (!m_caller.prepared.contains(statement.name)) {
+        const auto state =
+            m_state == SessionState::kIdle ? SessionState::kIdle : SessionState::kFailed;
+        return ErrorReply(StatementError::kUnknownStatement, statement.name, state);
+      }
+      return std::nullopt;
+    default:
+      return std::nullopt;
+  }
+}
+
+Reply CallerSession::Begin(const Statement& statement) {
+  if (m_state == SessionState::kInTransaction) {
+    return ErrorReply(StatementError::kMalformed, "a transaction is open",
+                      SessionState::kInTransaction);
+  }
+  if (m_refusing) {
+    return ErrorReply(StatementError::kAborted, "this proxy is stopping", SessionState::kIdle);
+  }
+  const auto* route = m_directory.FindRoute(m_database);
+  if (route == nullptr) {
+    return ErrorReply(StatementError::kUnknownDatabase, m_database.value(), SessionState::kIdle);
+  }
+  m_route = *route;
+  m_read_only = statement.kind == StatementKind::kBeginReadOnly;
+  m_begun_at = m_first_byte;
+  return LocalReply(SessionState::kInTransaction);
+}
+
+asio::awaitable<Reply> CallerSession::RunOutside(const Statement& statement) {
+  const auto* route = m_directory.FindRoute(m_database);
+  if (route == nullptr) {
+    co_return ErrorReply(StatementError::kUnknownDatabase, m_database.value(), SessionState::kIdle);
+  }
+  if (m_refusing) {
+    co_return ErrorReply(StatementError::kAborted, "this proxy is stopping", SessionState::kIdle);
+  }
+  const auto group = m_directory.FindGroup(route->group);
+  if (!group) {
+    co_return ErrorReply(StatementError::kBusy, "the group is not known yet", SessionState::kIdle);
+  }
+  const auto task = TaskFor(statement, *route);
+  if (AccessOf(statement, m_caller) == Access::kRead) {
+    co_return co_await m_runner.Read(group, task);
+  }
+  auto reply = co_await m_runner.Write(group, task);
+  NoteCommit(group->id(), reply);
+  co_return reply;
+}
+
+asio::awaitable<Reply> CallerSession::RunInside(const Statement& statement) {
+  const auto task = TaskFor(statement, m_route);
+  if (m_pin.IsOpen()) {
+    co_return co_await m_runner.RunNext(task, m_pin);
+  }
+  const auto group = m_directory.FindGroup(m_route.group);
+  if (!group) {
+    co_return ErrorReply(StatementError::kBusy, "the group is not known yet",
+                         SessionState::kFailed);
+  }
+  co_return co_await m_runner.RunFirst(group, task, m_read_only, m_pin);
+}
+
+asio::awaitable<Reply> CallerSession::Commit(const Statement& statement) {
+  if (m_state != SessionState::kInTransaction) {
+    co_return ErrorReply(StatementError::kMalformed, "no transaction is open", SessionState::kIdle);
+  }
+  if (!m_pin.IsOpen()) {
+    co_return co_await RunInside(statement);
+  }
+  const auto group = m_pin.group->id();
+  const bool wrote = m_pin.wrote;
+  auto reply = co_await m_runner.Commit(TaskFor(statement, m_route), m_pin);
+  if (wrote) {
+    NoteCommit(group, reply);
+  }
+  co_return reply;
+}
+
+asio::awaitable<Reply> CallerSession::Rollback() {
+  if (m_pin.IsOpen()) {
+    co_await m_runner.Rollback(m_pin);
+  }
+  co_return LocalReply(SessionState::kIdle);
+}
+
+void CallerSession::NoteCommit(const GroupId& group, const Reply& reply) {
+  if (!reply.ok() || !reply.position) {
+    return;
+  }
+  m_caller.committed = reply.position;
+  m_caller.committed_in = group;
+}
+
+asio::awaitable<void> CallerSession::End() {
+  if (m_pin.IsOpen()) {
+    co_await m_runner.Rollback(m_pin);
+  }
+}
+
+asio::awaitable<void> CallerSession::ExpireTransaction(bool all) {
+  if (m_busy || !m_pin.IsOpen()) {
+    co_return;
+  }
+  const auto idle = Clock::now() - m_last_used;
+  if (!all && idle < m_directory.configuration().transaction_idle) {
+    co_return;
+  }
+  m_context.events.Emit(EventCode::kTransactionAbandoned,
+                        {.group = m_pin.group->id(),
+                         .endpoint = m_pin.endpoint->entry.id,
+                         .detail = fmt::format("idle for {} ms", ToMillis(idle).count())});
+  m_state = SessionState::kFailed;
+  co_await m_runner.Rollback(m_pin);
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/endpoint.h
@@ -0,0 +1,47 @@
+// One database server as this proxy uses it: its links and what was learnt from its answers.
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "directory/endpoint_entry.h"
+#include "pool/link_pool.h"
+#include "routing/server_choice.h"
+
+namespace cardamom {
+
+// Not thread safe: all use is on the thread of the context.
+struct Endpoint {
+  Endpoint(EndpointEntry listed, std::shared_ptr<LinkPool> links, Duration base_latency)
+      : entry(std::move(listed)), pool(std::move(links)), latency(base_latency) {}
+
+  EndpointEntry entry;
+  std::shared_ptr<LinkPool> pool;
+  LatencyEstimate latency;
+  // Statements of this proxy in progress here.
+  std::size_t outstanding = 0;
+  // Estimate of the time by which the server's log lags, and when it was last confirmed.
+  Duration lag{};
+  BootTime lag_seen;
+  // No statements go here before this time: the last attempts failed.
+  TimePoint avoided_until;
+  int failures_in_row = 0;
+  // When the list first showed the server as leaving.
+  std::optional<TimePoint> leaving_since;
+};
+
+// Counts a statement as in progress at an endpoint while it lives.
+class OutstandingCount {
+ public:
+  explicit OutstandingCount(std::shared_ptr<Endpoint> endpoint) : m_endpoint(std::move(endpoint)) {
+    ++m_endpoint->outstanding;
+  }
+  ~OutstandingCount() { --m_endpoint->outstanding; }
+  OutstandingCount(const OutstandingCount&) = delete;
+  OutstandingCount& operator=(const OutstandingCount&) = delete;
+
+ private:
+  std::shared_ptr<Endpoint> m_endpoint;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,97 @@
+#include "gateway/gateway.h"
+
+#include <fmt/format.h>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kHousekeepingInterval{100};
+constexpr Millis kStopPoll{50};
+// Time left at the end of a stop in which the last answers leave.
+constexpr Millis kStopReserve{700};
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& io, const GatewaySettings& settings, GatewayPorts ports)
+    : m_settings(settings),
+      m_events(VmId(settings.vm_id), static_cast<std::size_t>(settings.event_ring)),
+      m_context{io, m_settings, m_events, m_metrics, ports.open_link},
+      m_directory(m_context, ports.table, std::move(ports.decoders)),
+      m_front(m_context, m_directory),
+      m_takeover(m_context, ports.table, std::move(ports.order)),
+      m_steward(m_context, m_directory, m_takeover) {}
+
+void Gateway::Start() {
+  m_events.Emit(EventCode::kProcessStarted, {.detail = "sessions " + m_settings.listen_sessions});
+  m_directory.Start();
+  m_steward.Start();
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Housekeeping(); });
+}
+
+bool Gateway::IsReady() const {
+  return !m_stopping && m_directory.IsKnown();
+}
+
+asio::awaitable<void> Gateway::Housekeeping() {
+  bool ready = false;
+  for (;;) {
+    m_front.ExpireTransactions(false);
+    if (IsReady() != ready) {
+      ready = !ready;
+      m_events.Emit(ready ? EventCode::kReady : EventCode::kNotReady);
+    }
+    EventLog::FlushLog();
+    co_await Sleep(kHousekeepingInterval);
+  }
+}
+
+asio::awaitable<HttpResponse> Gateway::HandleOperations(HttpRequest request) {
+  HttpResponse response;
+  if (request.target == "/metrics") {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = m_metrics.Format();
+  } else if (request.target == "/v1/events") {
+    response.body = Encode(m_events.Snapshot());
+  } else {
+    response.status = 404;
+  }
+  co_return response;
+}
+
+void Gateway::Stop(std::function<std::size_t()> close_idle, std::function<void()> on_stopped) {
+  Spawn(m_context.io,
+        [this, close_idle = std::move(close_idle), on_stopped = std::move(on_stopped)]()
+            -> asio::awaitable<void> { co_await StopGracefully(close_idle, on_stopped); });
+}
+
+asio::awaitable<void> Gateway::StopGracefully(std::function<std::size_t()> close_idle,
+                                              std::function<void()> on_stopped) {
+  const auto started = Clock::now();
+  const auto limit = Millis(m_settings.stop_limit_ms);
+  const auto end = started + limit - kStopReserve;
+  m_stopping = true;
+  m_events.Emit(EventCode::kProcessStopping);
+  co_await Sleep(Millis(m_settings.stop_notice_ms));
+  m_front.StartClosing();
+  bool refusing = false;
+  while (close_idle() > 0 && Clock::now() < end) {
+    // Open transactions have half of the time to end.
+    if (!refusing && Clock::now() - started > limit / 2 + kStopPoll) {
+      refusing = true;
+      m_front.RefuseNewWork();
+      m_front.ExpireTransactions(true);
+    }
+    co_await Sleep(kStopPoll);
+  }
+  m_steward.Stop();
+  m_directory.Stop();
+  m_events.Emit(EventCode::kProcessStopped,
+                {.detail = fmt::format("{} sessions left, {} in progress", m_front.open(),
+                                       m_front.in_progress())});
+  EventLog::FlushLog();
+  on_stopped();
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,59 @@
+// The session gateway: wires its parts and decides when it is ready and how it stops.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "gateway/directory.h"
+#include "gateway/primary_steward.h"
+#include "gateway/session_front.h"
+#include "gateway/takeover.h"
+#include "http/http_server.h"
+
+namespace cardamom {
+
+// How the gateway reaches what is outside of it.
+struct GatewayPorts {
+  TablePort table;
+  DirectoryDecoders decoders;
+  PromotionOrder order;
+  LinkOpener open_link;
+};
+
+// Not thread safe: all use is on the thread of the context, which must outlive the gateway.
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& io, const GatewaySettings& settings, GatewayPorts ports);
+
+  void Start();
+
+  // Stops gracefully: not ready first, then no new work, then open work ends. `close_idle` closes
+  // the connections of sessions that have nothing open and returns how many connections are left;
+  // it is called again and again. `on_stopped` is called once.
+  void Stop(std::function<std::size_t()> close_idle, std::function<void()> on_stopped);
+
+  // Whether the balancer may send new callers.
+  bool IsReady() const;
+
+  SessionFront& front() { return m_front; }
+  EventLog& events() { return m_events; }
+  // Answers requests for metrics and events.
+  asio::awaitable<HttpResponse> HandleOperations(HttpRequest request);
+
+ private:
+  asio::awaitable<void> Housekeeping();
+  asio::awaitable<void> StopGracefully(std::function<std::size_t()> close_idle,
+                                       std::function<void()> on_stopped);
+
+  const GatewaySettings& m_settings;
+  EventLog m_events;
+  GatewayMetrics m_metrics;
+  GatewayContext m_context;
+  Directory m_directory;
+  SessionFront m_front;
+  Takeover m_takeover;
+  PrimarySteward m_steward;
+  bool m_stopping = false;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,68 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace cardamom {
+namespace {
+
+// Upper bounds in seconds.
+const prometheus::Histogram::BucketBoundaries kDurationBounds = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : m_statements(prometheus::BuildCounter()
+                       .Name("cardamom_statements_total")
+                       .Help("Statements that needed a server, by outcome")
+                       .Register(m_registry)),
+      m_reads(prometheus::BuildCounter()
+                  .Name("cardamom_gateway_reads_total")
+                  .Help("Reads by the role of the server that answered")
+                  .Register(m_registry)),
+      m_promotions(prometheus::BuildCounter()
+                       .Name("cardamom_gateway_promotions_total")
+                       .Help("Changes of primary that this proxy tried, by outcome")
+                       .Register(m_registry)),
+      m_durations(prometheus::BuildHistogram()
+                      .Name("cardamom_statement_seconds")
+                      .Help("Time from the arrival of a statement to its answer, by outcome")
+                      .Register(m_registry)),
+      m_sessions(prometheus::BuildGauge()
+                     .Name("cardamom_sessions")
+                     .Help("Open sessions of callers")
+                     .Register(m_registry)
+                     .Add({})),
+      m_configuration(prometheus::BuildGauge()
+                          .Name("cardamom_configuration_version")
+                          .Help("Version of the configuration in force")
+                          .Register(m_registry)
+                          .Add({})) {}
+
+void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
+  m_statements.Add({{"outcome", outcome}}).Increment();
+  m_durations.Add({{"outcome", outcome}}, kDurationBounds)
+      .Observe(std::chrono::duration<double>(duration).count());
+}
+
+void GatewayMetrics::CountRead(const char* role) {
+  m_reads.Add({{"role", role}}).Increment();
+}
+
+void GatewayMetrics::CountPromotion(const char* outcome) {
+  m_promotions.Add({{"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::SetSessions(std::size_t count) {
+  m_sessions.Set(static_cast<double>(count));
+}
+
+void GatewayMetrics::SetConfiguration(std::uint64_t version) {
+  m_configuration.Set(static_cast<double>(version));
+}
+
+std::string GatewayMetrics::Format() {
+  return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/group_client.cc
@@ -0,0 +1,390 @@
+#include "gateway/group_client.h"
+
+#include <algorithm>
+#include <random>
+
+#include <fmt/format.h>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+// Samples back to the largest age that a route may allow are kept.
+constexpr Millis kKeepSamples{20'000};
+// A primary that gave no answer for this long is asked whether it still leads.
+constexpr Millis kProbeAfterSilence{400};
+constexpr Millis kWatchTick{100};
+// A probe takes no slot and no disk: a healthy server answers within the round trip.
+constexpr Millis kProbeTimeout{300};
+constexpr Millis kSearchPause{100};
+constexpr Millis kWarmTimeout{2000};
+// A server that failed is avoided for this long, doubled with each failure in a row.
+constexpr Millis kAvoidBase{100};
+constexpr Millis kAvoidMost{1000};
+// Base of the expected latency: a statement's work, and the way there and back.
+constexpr Millis kBaseWork{30};
+constexpr Millis kBaseSameDomain{1};
+constexpr Millis kBaseOtherDomain{12};
+// Margin over the estimated lag below which a replica is not asked.
+constexpr Millis kLagMargin{20};
+// An estimate of lag is believed for this long without a new answer.
+constexpr Millis kLagBelief{700};
+
+EndpointRequest OwnRequest(EndpointOperation operation, Term term = {}) {
+  EndpointRequest request;
+  request.operation = operation;
+  request.term = term;
+  return request;
+}
+
+}  // namespace
+
+GroupClient::GroupClient(GatewayContext& context, GroupId id)
+    : m_context(context), m_id(std::move(id)), m_watermarks(kKeepSamples) {}
+
+GroupClient::EndpointPtr GroupClient::Find(const EndpointId& id) const {
+  const auto it = m_endpoints.find(id);
+  return it == m_endpoints.end() ? nullptr : it->second;
+}
+
+std::size_t GroupClient::LinkLimit() const {
+  return std::max<std::size_t>(1, m_share);
+}
+
+void GroupClient::SetShare(std::size_t share) {
+  m_share = share;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    endpoint->pool->SetMax(LinkLimit());
+  }
+}
+
+void GroupClient::AddEndpoint(const EndpointEntry& entry) {
+  const bool near = entry.domain.value() == m_context.settings.domain;
+  const auto pool =
+      std::make_shared<LinkPool>(m_context.io, entry, m_context.open_link, LinkLimit());
+  const auto endpoint = std::make_shared<Endpoint>(
+      entry, pool, kBaseWork + (near ? kBaseSameDomain : kBaseOtherDomain));
+  m_endpoints[entry.id] = endpoint;
+  m_context.events.Emit(EventCode::kEndpointListed,
+                        {.group = m_id, .endpoint = entry.id, .detail = entry.address});
+  Spawn(m_context.io,
+        [pool]() -> asio::awaitable<void> { co_await pool->Warm(1, Clock::now() + kWarmTimeout); });
+}
+
+void GroupClient::Update(const std::vector<EndpointEntry>& entries, const GroupSettings& settings) {
+  m_settings = settings;
+  std::map<EndpointId, const EndpointEntry*> listed;
+  for (const auto& entry : entries) {
+    listed[entry.id] = &entry;
+  }
+  for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+    const auto found = listed.find(it->first);
+    const bool same = found != listed.end() &&
+                      found->second->address == it->second->entry.address &&
+                      found->second->started_ms == it->second->entry.started_ms;
+    if (same) {
+      ++it;
+      continue;
+    }
+    it->second->pool->Retire();
+    m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
+    if (m_primary == it->first) {
+      m_primary.reset();
+    }
+    it = m_endpoints.erase(it);
+  }
+  for (const auto& [id, entry] : listed) {
+    auto endpoint = Find(id);
+    if (!endpoint) {
+      AddEndpoint(*entry);
+      endpoint = Find(id);
+    }
+    endpoint->entry = *entry;
+    if (!entry->leaving) {
+      endpoint->leaving_since.reset();
+    } else if (!endpoint->leaving_since) {
+      endpoint->leaving_since = Clock::now();
+      m_context.events.Emit(EventCode::kEndpointLeaving, {.group = m_id, .endpoint = id});
+    }
+  }
+  if (!m_primary && !m_endpoints.empty()) {
+    StartSearch();
+  }
+}
+
+void GroupClient::Start() {
+  const auto self = shared_from_this();
+  Spawn(m_context.io, [self]() -> asio::awaitable<void> { co_await self->Watch(); });
+}
+
+void GroupClient::Stop() {
+  m_stopped = true;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    endpoint->pool->Retire();
+  }
+}
+
+GroupClient::EndpointPtr GroupClient::primary() const {
+  if (!m_primary) {
+    return nullptr;
+  }
+  return Find(*m_primary);
+}
+
+asio::awaitable<GroupClient::EndpointPtr> GroupClient::WaitForPrimary(TimePoint deadline) {
+  const auto usable = [this] { return primary() && !m_health.failing_since; };
+  if (!usable()) {
+    StartSearch();
+    co_await m_changed.WaitUntil(usable, deadline);
+  }
+  co_return usable() ? primary() : nullptr;
+}
+
+std::vector<GroupClient::EndpointPtr> GroupClient::ServersForRead(
+    std::optional<Position> position,
+    const std::vector<EndpointId>& tried) const {
+  const auto now = Clock::now();
+  const auto boot_now = BootClock::now();
+  const auto covered = position ? m_watermarks.FirstCovered(*position) : std::nullopt;
+  std::vector<ServerOption> options;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+      continue;
+    }
+    ServerOption option;
+    option.endpoint = id;
+    option.is_primary = m_primary == id;
+    option.reachable = now >= endpoint->avoided_until && !endpoint->entry.leaving;
+    if (option.is_primary) {
+      option.reachable = !m_health.failing_since;
+    }
+    // A replica holds the position if it lags by less than the position's age.
+    const auto lag = boot_now - endpoint->lag_seen < kLagBelief ? endpoint->lag : Duration::zero();
+    option.fresh =
+        position && (lag == Duration::zero() || !covered || boot_now - *covered > lag + kLagMargin);
+    option.expected = endpoint->latency.Expect(now);
+    option.outstanding = endpoint->outstanding + endpoint->pool->waiting();
+    options.push_back(option);
+  }
+  std::vector<EndpointPtr> servers;
+  for (const auto& id : OrderServers(options, ServerChoicePolicy())) {
+    servers.push_back(Find(id));
+  }
+  return servers;
+}
+
+asio::awaitable<std::optional<Position>> GroupClient::Watermark(BootTime not_before,
+                                                                TimePoint deadline) {
+  for (;;) {
+    if (const auto position = m_watermarks.Covering(not_before)) {
+      co_return position;
+    }
+    const auto endpoint = co_await WaitForPrimary(deadline);
+    if (!endpoint || Clock::now() >= deadline) {
+      co_return std::nullopt;
+    }
+    if (m_probing) {
+      co_await m_changed.WaitUntil([this] { return !m_probing; }, deadline);
+    } else {
+      co_await ProbePrimary();
+    }
+  }
+}
+
+asio::awaitable<Outcome<EndpointStatus>> GroupClient::Control(EndpointPtr endpoint,
+                                                              EndpointOperation operation,
+                                                              Term term,
+                                                              TimePoint deadline) {
+  auto lease = co_await endpoint->pool->Acquire({}, LinkUse::kControl, deadline);
+  if (!lease) {
+    co_return lease.error();
+  }
+  std::vector<EndpointRequest> requests{OwnRequest(operation, term)};
+  auto answer = co_await (*lease)->link->Run(std::move(requests), deadline);
+  if (answer.failure) {
+    lease->Discard();
+    co_return *answer.failure;
+  }
+  const auto& reply = answer.replies.front();
+  if (!reply.status) {
+    const auto detail = reply.reply.error ? std::string(ToString(reply.reply.error->code)) : "";
+    co_return Error{ResultCode::kBadAnswer, "no status: " + detail, Ran::kNo};
+  }
+  co_return *reply.status;
+}
+
+asio::awaitable<std::optional<Position>> GroupClient::ProbeLead(EndpointPtr endpoint,
+                                                                TimePoint deadline) {
+  auto lease = co_await endpoint->pool->Acquire({}, LinkUse::kControl, deadline);
+  if (!lease) {
+    if (lease.error().code != ResultCode::kOverloaded) {
+      OnLinkFailure(endpoint, lease.error().code == ResultCode::kConnectionRefused);
+    }
+    co_return std::nullopt;
+  }
+  std::vector<EndpointRequest> requests{OwnRequest(EndpointOperation::kBegin),
+                                        OwnRequest(EndpointOperation::kRollback)};
+  const auto asked_at = BootClock::now();
+  auto answer = co_await (*lease)->link->Run(std::move(requests), deadline);
+  if (answer.failure) {
+    lease->Discard();
+    OnLinkFailure(endpoint, false);
+    co_return std::nullopt;
+  }
+  const auto& begun = answer.replies.front().reply;
+  if (!begun.ok() || !begun.position) {
+    if (begun.error && begun.error->code == StatementError::kReadOnly) {
+      OnLostLead(endpoint);
+    }
+    if (!answer.replies.back().reply.ok()) {
+      // The transaction that was not opened could not be ended either.
+      co_return std::nullopt;
+    }
+    co_return std::nullopt;
+  }
+  OnPrimaryAnswer(endpoint, asked_at, *begun.position);
+  co_return begun.position;
+}
+
+asio::awaitable<void> GroupClient::ProbePrimary() {
+  const auto endpoint = primary();
+  if (!endpoint || m_probing) {
+    co_return;
+  }
+  m_probing = true;
+  co_await ProbeLead(endpoint, Clock::now() + kProbeTimeout);
+  m_probing = false;
+  m_changed.NotifyAll();
+}
+
+asio::awaitable<void> GroupClient::Watch() {
+  const auto self = shared_from_this();
+  while (!m_stopped) {
+    if (primary() && Clock::now() - m_last_contact > kProbeAfterSilence) {
+      co_await ProbePrimary();
+    }
+    if (!primary() || m_health.failing_since) {
+      StartSearch();
+    }
+    co_await Sleep(kWatchTick);
+  }
+}
+
+void GroupClient::StartSearch() {
+  if (m_searching || m_stopped) {
+    return;
+  }
+  m_searching = true;
+  const auto self = shared_from_this();
+  Spawn(m_context.io, [self]() -> asio::awaitable<void> { co_await self->SearchPrimary(); });
+}
+
+asio::awaitable<void> GroupClient::SearchPrimary() {
+  const auto self = shared_from_this();
+  static thread_local std::minstd_rand random{std::random_device{}()};
+  while (!m_stopped && !m_endpoints.empty() && (!primary() || m_health.failing_since)) {
+    const auto endpoints = m_endpoints;
+    for (const auto& [id, endpoint] : endpoints) {
+      Spawn(m_context.io, [self, endpoint = endpoint]() -> asio::awaitable<void> {
+        co_await self->ProbeLead(endpoint, Clock::now() + kProbeTimeout);
+      });
+    }
+    const auto pause = kSearchPause + Millis(std::uniform_int_distribution<int>(0, 60)(random));
+    co_await m_changed.WaitUntil([this] { return primary() && !m_health.failing_since; },
+                                 Clock::now() + pause);
+  }
+  m_searching = false;
+}
+
+void GroupClient::SetPrimary(const EndpointPtr& endpoint, Term term, const char* source) {
+  if (m_primary == endpoint->entry.id && m_term == term) {
+    return;
+  }
+  m_primary = endpoint->entry.id;
+  m_term = std::max(m_term, term);
+  m_health = PrimaryHealth();
+  m_context.events.Emit(
+      EventCode::kTermLearned,
+      {.group = m_id, .endpoint = endpoint->entry.id, .term = term, .detail = source});
+}
+
+void GroupClient::OnPrimaryAnswer(const EndpointPtr& endpoint,
+                                  BootTime asked_at,
+                                  Position position) {
+  if (position.term < m_term) {
+    // The answer of a primary that has been replaced since.
+    return;
+  }
+  SetPrimary(endpoint, position.term, "answer");
+  m_watermarks.Add(asked_at, position);
+  m_last_contact = Clock::now();
+  endpoint->failures_in_row = 0;
+  endpoint->avoided_until = {};
+  const bool recovered = m_health.failing_since.has_value();
+  m_health.failing_since.reset();
+  m_health.failures = 0;
+  if (recovered) {
+    m_context.events.Emit(EventCode::kEndpointReachable,
+                          {.group = m_id, .endpoint = endpoint->entry.id});
+  }
+  m_changed.NotifyAll();
+}
+
+void GroupClient::OnReplicaAnswer(const EndpointPtr& endpoint, Position applied) {
+  const auto now = BootClock::now();
+  endpoint->lag = m_watermarks.LagOf(applied, now);
+  endpoint->lag_seen = now;
+  endpoint->failures_in_row = 0;
+  endpoint->avoided_until = {};
+}
+
+void GroupClient::OnReplicaBehind(const EndpointPtr& endpoint, Position needed) {
+  const auto now = BootClock::now();
+  const auto covered = m_watermarks.FirstCovered(needed);
+  const auto least = covered ? std::chrono::duration_cast<Duration>(now - *covered) : Duration();
+  endpoint->lag = std::max(endpoint->lag, least);
+  endpoint->lag_seen = now;
+}
+
+void GroupClient::OnLostLead(const EndpointPtr& endpoint) {
+  if (m_primary != endpoint->entry.id) {
+    return;
+  }
+  m_context.events.Emit(EventCode::kPrimaryLostLead,
+                        {.group = m_id, .endpoint = endpoint->entry.id, .term = m_term});
+  m_primary.reset();
+  StartSearch();
+}
+
+void GroupClient::OnLinkFailure(const EndpointPtr& endpoint, bool refused) {
+  const auto now = Clock::now();
+  ++endpoint->failures_in_row;
+  const auto pause =
+      std::min<Millis>(kAvoidMost, kAvoidBase * (1 << std::min(endpoint->failures_in_row, 4)));
+  endpoint->avoided_until = now + pause;
+  endpoint->pool->CloseIdle();
+  m_context.events.Emit(
+      EventCode::kEndpointUnreachable,
+      {.group = m_id,
+       .endpoint = endpoint->entry.id,
+       .detail = fmt::format("{} failures, avoided for {} ms, {}", endpoint->failures_in_row,
+                             pause.count(), refused ? "refused" : "silent or reset")});
+  if (m_primary != endpoint->entry.id) {
+    return;
+  }
+  ++m_health.failures;
+  m_health.refused = refused;
+  if (!m_health.failing_since) {
+    m_health.failing_since = now;
+  }
+  StartSearch();
+}
+
+void GroupClient::OnCommitOverdue(TimePoint since) {
+  if (!m_health.stalled_since || *m_health.stalled_since < since) {
+    m_health.stalled_since = since;
+  }
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/group_client.h
@@ -0,0 +1,113 @@
+// What this proxy knows of a database group, and how it reaches its servers.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "async/notifier.h"
+#include "directory/configuration.h"
+#include "gateway/endpoint.h"
+#include "gateway/gateway_context.h"
+#include "group/watermark_history.h"
+
+namespace cardamom {
+
+// Evidence about a primary, for the decision to replace it.
+struct PrimaryHealth {
+  // Since when the primary has not answered, if it does not.
+  std::optional<TimePoint> failing_since;
+  // The last failure was a refused or reset connection.
+  bool refused = false;
+  int failures = 0;
+  // Since when acknowledgements of commits have been outstanding, if one is overdue.
+  std::optional<TimePoint> stalled_since;
+};
+
+// Not thread safe: all use is on the thread of the context.
+class GroupClient : public std::enable_shared_from_this<GroupClient> {
+ public:
+  using EndpointPtr = std::shared_ptr<Endpoint>;
+
+  GroupClient(GatewayContext& context, GroupId id);
+
+  const GroupId& id() const { return m_id; }
+
+  // Takes the newest list of the group's servers and its settings.
+  void Update(const std::vector<EndpointEntry>& entries, const GroupSettings& settings);
+  // Changes the number of links that this proxy may hold to each server.
+  void SetShare(std::size_t share);
+
+  // Starts the watch over the primary.
+  void Start();
+  void Stop();
+
+  // The primary, if known and not known to be failing.
+  EndpointPtr primary() const;
+  // Waits for a primary other than one that fails. Returns nullptr at `deadline`.
+  asio::awaitable<EndpointPtr> WaitForPrimary(TimePoint deadline);
+
+  // The servers to ask for a read that needs `position`, best first, without those in `tried`.
+  std::vector<EndpointPtr> ServersForRead(std::optional<Position> position,
+                                          const std::vector<EndpointId>& tried) const;
+
+  // Sees to it that a watermark sample asked for after `not_before` exists; returns the least
+  // position that covers it, or nothing at `deadline`.
+  asio::awaitable<std::optional<Position>> Watermark(BootTime not_before, TimePoint deadline);
+
+  // Notes of answers.
+  void OnPrimaryAnswer(const EndpointPtr& endpoint, BootTime asked_at, Position position);
+  void OnReplicaAnswer(const EndpointPtr& endpoint, Position applied);
+  void OnReplicaBehind(const EndpointPtr& endpoint, Position needed);
+  void OnLostLead(const EndpointPtr& endpoint);
+  void OnLinkFailure(const EndpointPtr& endpoint, bool refused);
+  // A commit was sent at `since` and has no answer yet.
+  void OnCommitOverdue(TimePoint since);
+
+  const std::map<EndpointId, EndpointPtr>& endpoints() const { return m_endpoints; }
+  EndpointPtr Find(const EndpointId& id) const;
+  const PrimaryHealth& health() const { return m_health; }
+  const std::optional<EndpointId>& primary_id() const { return m_primary; }
+  Term term() const { return m_term; }
+  const WatermarkHistory& watermarks() const { return m_watermarks; }
+  const GroupSettings& settings() const { return m_settings; }
+
+  // Asks `endpoint` whether it leads: opens and ends an empty transaction, which takes no slot.
+  // Returns the position if it does.
+  asio::awaitable<std::optional<Position>> ProbeLead(EndpointPtr endpoint, TimePoint deadline);
+
+  // Sends one request on a control link. Errors: kTransport, kOverloaded, kBadAnswer.
+  asio::awaitable<Outcome<EndpointStatus>> Control(EndpointPtr endpoint,
+                                                   EndpointOperation operation,
+                                                   Term term,
+                                                   TimePoint deadline);
+
+ private:
+  void AddEndpoint(const EndpointEntry& entry);
+  void SetPrimary(const EndpointPtr& endpoint, Term term, const char* source);
+  asio::awaitable<void> Watch();
+  // Probes every server until one leads. One search runs at a time.
+  asio::awaitable<void> SearchPrimary();
+  void StartSearch();
+  asio::awaitable<void> ProbePrimary();
+  std::size_t LinkLimit() const;
+
+  GatewayContext& m_context;
+  const GroupId m_id;
+  GroupSettings m_settings;
+  std::size_t m_share = 2;
+  std::map<EndpointId, EndpointPtr> m_endpoints;
+  std::optional<EndpointId> m_primary;
+  Term m_term;
+  WatermarkHistory m_watermarks;
+  PrimaryHealth m_health;
+  TimePoint m_last_contact;
+  bool m_searching = false;
+  bool m_probing = false;
+  bool m_stopped = false;
+  Notifier m_changed;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/primary_steward.cc
@@ -0,0 +1,108 @@
+#include "gateway/primary_steward.h"
+
+#include <xxhash.h>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kTick{50};
+// Proxies start their takeovers apart by up to kSteps - 1 steps, in an order that the group's name
+// decides.
+constexpr std::uint64_t kSteps = 8;
+constexpr Millis kStep{70};
+// Pause after a try that did not finish.
+constexpr Millis kRetryPause{250};
+// A primary that leaves is replaced without haste: all proxies learn of it at different times.
+constexpr Millis kAfterTakeover{1500};
+
+}  // namespace
+
+std::optional<TakeoverReason> JudgeTakeover(const StewardView& view,
+                                            const StewardPolicy& policy,
+                                            Duration delay,
+                                            TimePoint now) {
+  if (!view.has_servers) {
+    return std::nullopt;
+  }
+  if (view.leaderless_since && now - *view.leaderless_since > policy.leaderless_limit + delay) {
+    return TakeoverReason::kFailed;
+  }
+  if (!view.has_primary) {
+    return std::nullopt;
+  }
+  if (view.health.failing_since) {
+    const auto limit = view.health.refused ? policy.refused_limit : policy.silent_limit;
+    if (view.health.failures >= 2 && now - *view.health.failing_since > limit + delay) {
+      return TakeoverReason::kFailed;
+    }
+    return std::nullopt;
+  }
+  if (view.primary_leaving) {
+    return TakeoverReason::kLeaving;
+  }
+  if (view.health.stalled_since) {
+    const auto age = now - *view.health.stalled_since;
+    if (age > policy.stall_limit + delay && age < policy.stall_memory + delay) {
+      return TakeoverReason::kStalled;
+    }
+  }
+  return std::nullopt;
+}
+
+PrimarySteward::PrimarySteward(GatewayContext& context,
+                               const Directory& directory,
+                               Takeover& takeover)
+    : m_context(context), m_directory(directory), m_takeover(takeover) {}
+
+void PrimarySteward::Start() {
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Watch(); });
+}
+
+Duration PrimarySteward::DelayFor(const GroupId& group) const {
+  const auto name = m_context.settings.vm_id + "/" + group.value();
+  return kStep * static_cast<int>(XXH64(name.data(), name.size(), 0) % kSteps);
+}
+
+asio::awaitable<void> PrimarySteward::Watch() {
+  while (!m_stopped) {
+    for (const auto& [id, group] : m_directory.groups()) {
+      Consider(group);
+    }
+    co_await Sleep(kTick);
+  }
+}
+
+void PrimarySteward::Consider(const std::shared_ptr<GroupClient>& group) {
+  auto& state = m_states[group->id()];
+  const auto now = Clock::now();
+  const auto primary = group->primary();
+  if (primary || group->endpoints().empty()) {
+    state.leaderless_since.reset();
+  } else if (!state.leaderless_since) {
+    state.leaderless_since = now;
+  }
+  StewardView view;
+  view.has_servers = !group->endpoints().empty();
+  view.has_primary = primary != nullptr;
+  view.health = group->health();
+  view.leaderless_since = state.leaderless_since;
+  const auto delay = DelayFor(group->id());
+  if (primary && primary->entry.leaving) {
+    view.primary_leaving = now - *primary->leaving_since > delay * 2;
+  }
+  const auto reason = JudgeTakeover(view, StewardPolicy(), delay, now);
+  if (!reason || state.running || now < state.not_before) {
+    return;
+  }
+  state.running = true;
+  Spawn(m_context.io, [this, group, reason = *reason]() -> asio::awaitable<void> {
+    const bool done = co_await m_takeover.Run(group, reason);
+    auto& state = m_states[group->id()];
+    state.running = false;
+    state.not_before = Clock::now() + (done ? kAfterTakeover : kRetryPause);
+  });
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/primary_steward.h
@@ -0,0 +1,71 @@
+// Decides when this proxy tries to replace a primary.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "gateway/directory.h"
+#include "gateway/takeover.h"
+
+namespace cardamom {
+
+// When a takeover is due.
+struct StewardPolicy {
+  // Silence of a primary whose process refuses connections.
+  Millis refused_limit{250};
+  // Silence of a primary that might only be slow.
+  Millis silent_limit{600};
+  // A group in which nobody leads.
+  Millis leaderless_limit{900};
+  // Commits without an acknowledgement.
+  Millis stall_limit{700};
+  // Evidence of a stall older than this is forgotten.
+  Millis stall_memory{2500};
+};
+
+// What the steward knows of a group.
+struct StewardView {
+  bool has_servers = false;
+  bool has_primary = false;
+  bool primary_leaving = false;
+  PrimaryHealth health;
+  // Since when no primary has been known.
+  std::optional<TimePoint> leaderless_since;
+};
+
+// Why a takeover is due now, if it is. `delay` keeps proxies apart: the first one usually finishes
+// before the next one starts. Pure and thread safe.
+std::optional<TakeoverReason> JudgeTakeover(const StewardView& view,
+                                            const StewardPolicy& policy,
+                                            Duration delay,
+                                            TimePoint now);
+
+// Not thread safe: all use is on the thread of the context.
+class PrimarySteward {
+ public:
+  PrimarySteward(GatewayContext& context, const Directory& directory, Takeover& takeover);
+
+  void Start();
+  void Stop() { m_stopped = true; }
+
+ private:
+  asio::awaitable<void> Watch();
+  void Consider(const std::shared_ptr<GroupClient>& group);
+  Duration DelayFor(const GroupId& group) const;
+
+  struct State {
+    std::optional<TimePoint> leaderless_since;
+    std::optional<TimePoint> leaving_since;
+    TimePoint not_before;
+    bool running = false;
+  };
+
+  GatewayContext& m_context;
+  const Directory& m_directory;
+  Takeover& m_takeover;
+  std::map<GroupId, State> m_states;
+  bool m_stopped = false;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/session_front.cc
@@ -0,0 +1,69 @@
+#include "gateway/session_front.h"
+
+#include <algorithm>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+// Callers give up on a session that is not open within 2 s.
+constexpr Millis kOpenPatience{1500};
+
+}  // namespace
+
+SessionFront::SessionFront(GatewayContext& context, Directory& directory)
+    : m_context(context), m_directory(directory), m_runner(context) {}
+
+asio::awaitable<SessionFront::Opened> SessionFront::Open(DatabaseName database) {
+  if (!m_directory.IsKnown() &&
+      !co_await m_directory.WaitUntilKnown(Clock::now() + kOpenPatience)) {
+    co_return ReplyError{StatementError::kBusy, "the configuration is not known yet"};
+  }
+  if (m_directory.FindRoute(database) == nullptr) {
+    m_context.events.Emit(EventCode::kDatabaseUnknown,
+                          {.detail = database.value() + " is not in version " +
+                                     std::to_string(m_directory.configuration().version)});
+    co_return ReplyError{StatementError::kUnknownDatabase, database.value()};
+  }
+  auto session =
+      std::make_shared<CallerSession>(m_context, m_directory, m_runner, std::move(database));
+  if (m_refusing) {
+    session->RefuseNewWork();
+  }
+  m_sessions.push_back(session);
+  m_context.metrics.SetSessions(m_sessions.size());
+  co_return session;
+}
+
+asio::awaitable<void> SessionFront::Close(std::shared_ptr<CallerSession> session) {
+  m_sessions.remove(session);
+  m_context.metrics.SetSessions(m_sessions.size());
+  co_await session->End();
+}
+
+void SessionFront::ExpireTransactions(bool all) {
+  for (const auto& session : m_sessions) {
+    if (!session->busy() && session->state() == SessionState::kInTransaction) {
+      Spawn(m_context.io, [session, all]() -> asio::awaitable<void> {
+        co_await session->ExpireTransaction(all);
+      });
+    }
+  }
+}
+
+void SessionFront::RefuseNewWork() {
+  m_refusing = true;
+  for (const auto& session : m_sessions) {
+    session->RefuseNewWork();
+  }
+}
+
+std::size_t SessionFront::in_progress() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto& session) {
+        return session->busy() || session->state() != SessionState::kIdle;
+      }));
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/statement_runner.cc
@@ -0,0 +1,562 @@
+#include "gateway/statement_runner.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+
+namespace {
+
+// A read moves to another server after this part of its time limit without an answer.
+constexpr double kReadAttemptPart = 0.45;
+// A statement waits for a primary for this part of its time limit; then it is refused while the
+// caller still has time to come back.
+constexpr double kPrimaryWaitPart = 0.6;
+constexpr int kMaxAttempts = 4;
+constexpr Millis kRollbackTimeout{300};
+// A commit without an answer for this long counts as overdue.
+constexpr Millis kCommitOverdue{600};
+// Pause that a refused caller is told to make.
+constexpr Millis kRetryHint{150};
+
+EndpointRequest OwnRequest(EndpointOperation operation) {
+  EndpointRequest request;
+  request.operation = operation;
+  return request;
+}
+
+TimePoint PartOf(const StatementTask& task, double part) {
+  const auto span = std::chrono::duration_cast<Duration>((task.deadline - task.received) * part);
+  return std::min(task.deadline, task.received + span);
+}
+
+std::string ToText(const std::optional<Position>& position) {
+  return position ? fmt::format("{}.{}", position->term.value(), position->index.value()) : "-";
+}
+
+}  // namespace
+
+// What became of a statement at one server.
+struct StatementRunner::Attempt {
+  enum class End {
+    // `reply` is the server's word on the statement.
+    kAnswered,
+    // Nothing ran, or nothing that is kept.
+    kNotRun,
+    // The statement may have run.
+    kUnknown,
+  };
+  End end = End::kNotRun;
+  Reply reply;
+  std::string reason;
+};
+
+asio::awaitable<std::optional<Position>> StatementRunner::NeededPosition(
+    GroupClient& group,
+    const StatementTask& task) {
+  if (task.route.consistency == Consistency::kPrimary) {
+    co_return std::nullopt;
+  }
+  const auto not_before = task.first_byte - task.route.max_staleness;
+  auto needed = co_await group.Watermark(not_before, PartOf(task, kPrimaryWaitPart));
+  if (needed && task.route.consistency == Consistency::kReadYourWrites && task.caller.committed &&
+      task.caller.committed_in == group.id()) {
+    needed = std::max(*needed, *task.caller.committed);
+  }
+  co_return needed;
+}
+
+asio::awaitable<StatementRunner::Attempt> StatementRunner::ReadAt(GroupClient& group,
+                                                                  GroupClient::EndpointPtr endpoint,
+                                                                  std::optional<Position> after,
+                                                                  const StatementTask& task,
+                                                                  TimePoint deadline) {
+  Attempt attempt;
+  const OutstandingCount counted(endpoint);
+  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, deadline);
+  if (!lease) {
+    attempt.reason = lease.error().detail;
+    if (lease.error().code != ResultCode::kOverloaded) {
+      group.OnLinkFailure(endpoint, lease.error().code == ResultCode::kConnectionRefused);
+    }
+    co_return attempt;
+  }
+  const bool at_primary = !after.has_value();
+  auto batch = StartBatch(**lease, task.caller, &task.statement, false);
+  if (at_primary) {
+    // Only a transaction that may write is refused by a primary that was replaced.
+    batch.begin_at = batch.requests.size();
+    batch.requests.push_back(OwnRequest(EndpointOperation::kBegin));
+  }
+  batch.main_at = batch.requests.size();
+  auto main = ToRequest(task.statement, task.caller);
+  main.after = after;
+  batch.requests.push_back(std::move(main));
+  if (at_primary) {
+    batch.requests.push_back(OwnRequest(EndpointOperation::kRollback));
+  }
+  const auto asked_at = BootClock::now();
+  const auto sent_at = Clock::now();
+  const auto answer = co_await (*lease)->link->Run(batch.requests, deadline);
+  const auto now = Clock::now();
+  if (answer.failure) {
+    lease->Discard();
+    endpoint->latency.OnFailure(now - sent_at, now);
+    group.OnLinkFailure(endpoint, false);
+    attempt.reason = answer.failure->detail;
+    co_return attempt;
+  }
+  if (!ApplyBatch(batch, answer, **lease)) {
+    lease->Discard();
+    attempt.reason = "the session's values were refused";
+    co_return attempt;
+  }
+  if (batch.begin_at) {
+    const auto& begun = answer.replies[*batch.begin_at].reply;
+    if (!begun.ok()) {
+      // The read behind it ran on a log that may be old: its answer is thrown away.
+      lease->Discard();
+      attempt.reason = fmt::format("begin: {}", ToString(begun.error->code));
+      if (begun.error->code == StatementError::kReadOnly) {
+        group.OnLostLead(endpoint);
+      }
+      co_return attempt;
+    }
+    if (begun.position) {
+      group.OnPrimaryAnswer(endpoint, asked_at, *begun.position);
+    }
+  }
+  const auto& reply = answer.replies[*batch.main_at].reply;
+  if (answer.replies.back().reply.state != SessionState::kIdle) {
+    lease->Discard();
+  }
+  if (reply.ok()) {
+    endpoint->latency.OnAnswer(now - sent_at, now);
+    if (!at_primary && reply.position) {
+      group.OnReplicaAnswer(endpoint, *reply.position);
+    }
+    attempt.end = Attempt::End::kAnswered;
+    attempt.reply = reply;
+    attempt.reply.state = SessionState::kIdle;
+    co_return attempt;
+  }
+  attempt.reason = std::string(ToString(reply.error->code));
+  if (reply.error->code == StatementError::kLagging && after) {
+    group.OnReplicaBehind(endpoint, *after);
+  } else if (reply.error->code == StatementError::kReadOnly && at_primary) {
+    group.OnLostLead(endpoint);
+  } else if (reply.error->code == StatementError::kUnknownStatement) {
+    lease->Discard();
+  } else {
+    endpoint->latency.OnFailure(Millis(200), now);
+  }
+  co_return attempt;
+}
+
+asio::awaitable<Reply> StatementRunner::Read(std::shared_ptr<GroupClient> group,
+                                             StatementTask task) {
+  std::vector<EndpointId> tried;
+  std::string reason = "no server";
+  const auto needed = co_await NeededPosition(*group, task);
+  for (int i = 0; i < kMaxAttempts && Clock::now() < task.deadline; ++i) {
+    GroupClient::EndpointPtr endpoint;
+    if (needed) {
+      const auto servers = group->ServersForRead(needed, tried);
+      // A server that has a free link goes before one that would have to be waited for.
+      const auto free = std::find_if(servers.begin(), servers.end(),
+                                     [](const auto& server) { return server->pool->HasRoom(); });
+      endpoint = free != servers.end() ? *free : servers.empty() ? nullptr : servers.front();
+    } else {
+      endpoint = co_await group->WaitForPrimary(PartOf(task, kPrimaryWaitPart));
+    }
+    if (!endpoint) {
+      break;
+    }
+    const bool at_primary = group->primary_id() == endpoint->entry.id;
+    const auto after = at_primary ? std::nullopt : needed;
+    const auto deadline =
+        at_primary && !needed
+            ? task.deadline
+            : std::min(task.deadline,
+                       Clock::now() + std::chrono::duration_cast<Duration>(
+                                          (task.deadline - task.received) * kReadAttemptPart));
+    auto attempt = co_await ReadAt(*group, endpoint, after, task, deadline);
+    if (attempt.end == Attempt::End::kAnswered) {
+      m_context.metrics.CountRead(at_primary ? "primary" : "replica");
+      LogAnswer(*group, task, *endpoint, after, attempt.reply);
+      co_return attempt.reply;
+    }
+    reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
+    if (needed) {
+      tried.push_back(endpoint->entry.id);
+    }
+  }
+  co_return Refuse(*group, task, reason);
+}
+
+asio::awaitable<StatementRunner::Attempt> StatementRunner::WriteAt(
+    GroupClient& group,
+    GroupClient::EndpointPtr endpoint,
+    const StatementTask& task) {
+  Attempt attempt;
+  const OutstandingCount counted(endpoint);
+  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement,
+                                                PartOf(task, kPrimaryWaitPart));
+  if (!lease) {
+    attempt.reason = lease.error().detail;
+    if (lease.error().code != ResultCode::kOverloaded) {
+      group.OnLinkFailure(endpoint, lease.error().code == ResultCode::kConnectionRefused);
+    }
+    co_return attempt;
+  }
+  auto batch = StartBatch(**lease, task.caller, &task.statement, false);
+  if (!batch.requests.empty()) {
+    // A write behind a refused value would run with other values: what the link lacks goes first.
+    const auto prepared = co_await (*lease)->link->Run(batch.requests, task.deadline);
+    if (prepared.failure || !ApplyBatch(batch, prepared, **lease)) {
+      lease->Discard();
+      group.OnLinkFailure(endpoint, false);
+      attempt.reason = "the session's values were not taken";
+      co_return attempt;
+    }
+  }
+  std::vector<EndpointRequest> requests{ToRequest(task.statement, task.caller)};
+  const auto asked_at = BootClock::now();
+  const auto sent_at = Clock::now();
+  const auto answer = co_await (*lease)->link->Run(std::move(requests), task.deadline);
+  const auto now = Clock::now();
+  if (answer.failure) {
+    lease->Discard();
+    endpoint->latency.OnFailure(now - sent_at, now);
+    group.OnLinkFailure(endpoint, false);
+    if (now - sent_at > kCommitOverdue) {
+      group.OnCommitOverdue(sent_at);
+    }
+    attempt.end = answer.failure->ran == Ran::kNo ? Attempt::End::kNotRun : Attempt::End::kUnknown;
+    attempt.reason = answer.failure->detail;
+    co_return attempt;
+  }
+  const auto& reply = answer.replies.front().reply;
+  if (!reply.ok() && MeansNotRun(reply.error->code)) {
+    attempt.reason = std::string(ToString(reply.error->code));
+    if (reply.error->code == StatementError::kReadOnly) {
+      group.OnLostLead(endpoint);
+    } else if (reply.error->code == StatementError::kUnknownStatement) {
+      lease->Discard();
+    }
+    co_return attempt;
+  }
+  if (reply.ok() && reply.position) {
+    endpoint->latency.OnAnswer(now - sent_at, now);
+    group.OnPrimaryAnswer(endpoint, asked_at, *reply.position);
+  }
+  attempt.end = reply.ok() ? Attempt::End::kAnswered : Attempt::End::kUnknown;
+  attempt.reason = reply.ok() ? "" : std::string(ToString(reply.error->code));
+  attempt.reply = reply;
+  attempt.reply.state = SessionState::kIdle;
+  co_return attempt;
+}
+
+asio::awaitable<Reply> StatementRunner::Write(std::shared_ptr<GroupClient> group,
+                                              StatementTask task) {
+  std::string reason = "no primary";
+  for (int i = 0; i < kMaxAttempts; ++i) {
+    const auto endpoint = co_await group->WaitForPrimary(PartOf(task, kPrimaryWaitPart));
+    if (!endpoint) {
+      break;
+    }
+    auto attempt = co_await WriteAt(*group, endpoint, task);
+    switch (attempt.end) {
+      case Attempt::End::kAnswered:
+        LogAnswer(*group, task, *endpoint, std::nullopt, attempt.reply);
+        co_return attempt.reply;
+      case Attempt::End::kUnknown:
+        co_return Unknown(*group, task, attempt.reason);
+      case Attempt::End::kNotRun:
+        reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
+        break;
+    }
+    if (attempt.reason == ToString(StatementError::kBusy)) {
+      break;
+    }
+  }
+  co_return Refuse(*group, task, reason);
+}
+
+asio::awaitable<StatementRunner::Attempt> StatementRunner::RunBatch(const StatementTask& task,
+                                                                    StatementBatch batch,
+                                                                    TransactionPin& pin) {
+  Attempt attempt;
+  const auto asked_at = BootClock::now();
+  const auto sent_at = Clock::now();
+  const auto answer = co_await pin.lease->link->Run(batch.requests, task.deadline);
+  const auto now = Clock::now();
+  if (answer.failure) {
+    pin.lease.Discard();
+    pin.endpoint->latency.OnFailure(now - sent_at, now);
+    pin.group->OnLinkFailure(pin.endpoint, false);
+    attempt.end = answer.failure->ran == Ran::kNo ? Attempt::End::kNotRun : Attempt::End::kUnknown;
+    attempt.reason = answer.failure->detail;
+    co_return attempt;
+  }
+  if (!ApplyBatch(batch, answer, *pin.lease)) {
+    pin.lease.Discard();
+    attempt.reason = "the session's values were refused";
+    co_return attempt;
+  }
+  if (batch.begin_at) {
+    const auto& begun = answer.replies[*batch.begin_at].reply;
+    if (!begun.ok()) {
+      attempt.reason = std::string(ToString(begun.error->code));
+      pin.lease.Discard();
+      if (begun.error->code == StatementError::kReadOnly && pin.at_primary) {
+        pin.group->OnLostLead(pin.endpoint);
+      } else if (begun.error->code == StatementError::kLagging &&
+                 batch.requests[*batch.begin_at].after) {
+        pin.group->OnReplicaBehind(pin.endpoint, *batch.requests[*batch.begin_at].after);
+      }
+      co_return attempt;
+    }
+    if (pin.at_primary && begun.position) {
+      pin.group->OnPrimaryAnswer(pin.endpoint, asked_at, *begun.position);
+    }
+  }
+  attempt.end = Attempt::End::kAnswered;
+  if (!batch.main_at) {
+    co_return attempt;
+  }
+  attempt.reply = answer.replies[*batch.main_at].reply;
+  if (attempt.reply.ok()) {
+    pin.endpoint->latency.OnAnswer(now - sent_at, now);
+    if (!pin.at_primary && attempt.reply.position) {
+      pin.group->OnReplicaAnswer(pin.endpoint, *attempt.reply.position);
+    }
+  } else if (attempt.reply.error->code == StatementError::kReadOnly && pin.at_primary) {
+    pin.group->OnLostLead(pin.endpoint);
+  }
+  co_return attempt;
+}
+
+asio::awaitable<StatementRunner::Attempt> StatementRunner::OpenAt(GroupClient& group,
+                                                                  GroupClient::EndpointPtr endpoint,
+                                                                  std::optional<Position> after,
+                                                                  const StatementTask& task,
+                                                                  bool read_only,
+                                                                  TimePoint deadline,
+                                                                  TransactionPin& pin) {
+  Attempt attempt;
+  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, deadline);
+  if (!lease) {
+    attempt.reason = lease.error().detail;
+    if (lease.error().code != ResultCode::kOverloaded) {
+      group.OnLinkFailure(endpoint, lease.error().code == ResultCode::kConnectionRefused);
+    }
+    co_return attempt;
+  }
+  pin.endpoint = endpoint;
+  pin.lease = std::move(*lease);
+  pin.at_primary = !after.has_value();
+  pin.wrote = false;
+  auto batch = StartBatch(*pin.lease, task.caller, nullptr, false);
+  batch.begin_at = batch.requests.size();
+  auto begin = OwnRequest(read_only && !pin.at_primary ? EndpointOperation::kBeginReadOnly
+                                                       : EndpointOperation::kBegin);
+  begin.after = after;
+  batch.requests.push_back(std::move(begin));
+  attempt = co_await RunBatch(task, std::move(batch), pin);
+  if (attempt.end != Attempt::End::kAnswered) {
+    co_return attempt;
+  }
+  // A statement behind a refused begin would run outside of any transaction, so it waits for the
+  // answer.
+  auto first = StartBatch(*pin.lease, task.caller, &task.statement, true);
+  first.main_at = first.requests.size();
+  first.requests.push_back(ToRequest(task.statement, task.caller));
+  pin.wrote = AccessOf(task.statement, task.caller) == Access::kWrite;
+  co_return co_await RunBatch(task, std::move(first), pin);
+}
+
+asio::awaitable<Reply> StatementRunner::RunFirst(std::shared_ptr<GroupClient> group,
+                                                 StatementTask task,
+                                                 bool read_only,
+                                                 TransactionPin& pin) {
+  pin.group = group;
+  std::vector<EndpointId> tried;
+  std::string reason = "no server";
+  std::optional<Position> needed;
+  if (read_only) {
+    needed = co_await NeededPosition(*group, task);
+  }
+  const bool commits = task.statement.kind == StatementKind::kCommit;
+  for (int i = 0; i < kMaxAttempts && Clock::now() < task.deadline; ++i) {
+    GroupClient::EndpointPtr endpoint;
+    if (needed) {
+      const auto servers = group->ServersForRead(needed, tried);
+      const auto free = std::find_if(servers.begin(), servers.end(),
+                                     [](const auto& server) { return server->pool->HasRoom(); });
+      endpoint = free != servers.end() ? *free : servers.empty() ? nullptr : servers.front();
+    } else {
+      endpoint = co_await group->WaitForPrimary(PartOf(task, kPrimaryWaitPart));
+    }
+    if (!endpoint) {
+      break;
+    }
+    const bool at_primary = !needed || group->primary_id() == endpoint->entry.id;
+    const auto after = at_primary ? std::nullopt : needed;
+    auto attempt = co_await OpenAt(*group, endpoint, after, task, read_only,
+                                   PartOf(task, kPrimaryWaitPart), pin);
+    if (attempt.end == Attempt::End::kAnswered && attempt.reply.ok()) {
+      LogAnswer(*group, task, *endpoint, after, attempt.reply);
+      if (commits) {
+        pin.lease.Release();
+      }
+      co_return attempt.reply;
+    }
+    if (attempt.end == Attempt::End::kAnswered) {
+      attempt.reason = std::string(ToString(attempt.reply.error->code));
+    }
+    // Nothing was committed: whatever ran is rolled back with the transaction.
+    if (pin.IsOpen()) {
+      co_await Rollback(pin);
+    }
+    reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
+    if (needed) {
+      tried.push_back(endpoint->entry.id);
+    } else if (attempt.end != Attempt::End::kNotRun) {
+      break;
+    }
+  }
+  auto refusal = Refuse(*group, task, reason);
+  refusal.state = commits ? SessionState::kIdle : SessionState::kFailed;
+  co_return refusal;
+}
+
+asio::awaitable<Reply> StatementRunner::RunNext(StatementTask task, TransactionPin& pin) {
+  const OutstandingCount counted(pin.endpoint);
+  auto batch = StartBatch(*pin.lease, task.caller, &task.statement, true);
+  batch.main_at = batch.requests.size();
+  batch.requests.push_back(ToRequest(task.statement, task.caller));
+  if (AccessOf(task.statement, task.caller) == Access::kWrite) {
+    pin.wrote = true;
+  }
+  const auto endpoint = pin.endpoint;
+  auto attempt = co_await RunBatch(task, std::move(batch), pin);
+  if (attempt.end == Attempt::End::kAnswered && attempt.reply.ok()) {
+    LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
+    co_return attempt.reply;
+  }
+  if (pin.IsOpen()) {
+    co_await Rollback(pin);
+  }
+  // Without its commit a transaction keeps nothing, whatever became of the statement.
+  const auto reason = attempt.end == Attempt::End::kAnswered
+                          ? std::string(ToString(attempt.reply.error->code))
+                          : attempt.reason;
+  auto reply = Refuse(*pin.group, task, reason + " at " + endpoint->entry.id.value());
+  reply.error->code = StatementError::kAborted;
+  reply.state = SessionState::kFailed;
+  co_return reply;
+}
+
+asio::awaitable<Reply> StatementRunner::Commit(StatementTask task, TransactionPin& pin) {
+  const auto endpoint = pin.endpoint;
+  const OutstandingCount counted(endpoint);
+  StatementBatch batch;
+  batch.values_after = pin.lease->values;
+  batch.prepared_after = pin.lease->prepared;
+  batch.main_at = 0;
+  batch.requests.push_back(ToRequest(task.statement, task.caller));
+  const auto asked_at = BootClock::now();
+  const auto sent_at = Clock::now();
+  auto attempt = co_await RunBatch(task, std::move(batch), pin);
+  if (attempt.end == Attempt::End::kAnswered && attempt.reply.ok()) {
+    if (pin.wrote && attempt.reply.position) {
+      pin.group->OnPrimaryAnswer(endpoint, asked_at, *attempt.reply.position);
+    }
+    if (attempt.reply.state == SessionState::kIdle) {
+      pin.lease.Release();
+    } else {
+      pin.lease.Discard();
+    }
+    attempt.reply.state = SessionState::kIdle;
+    LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
+    co_return attempt.reply;
+  }
+  const bool refused =
+      attempt.end == Attempt::End::kAnswered && MeansNotRun(attempt.reply.error->code);
+  if (attempt.end == Attempt::End::kAnswered) {
+    attempt.reason = std::string(ToString(attempt.reply.error->code));
+  }
+  if (Clock::now() - sent_at > kCommitOverdue) {
+    pin.group->OnCommitOverdue(sent_at);
+  }
+  if (pin.IsOpen()) {
+    co_await Rollback(pin);
+  }
+  if (refused || !pin.wrote || attempt.end == Attempt::End::kNotRun) {
+    auto reply = Refuse(*pin.group, task, attempt.reason + " at " + endpoint->entry.id.value());
+    reply.error->code = StatementError::kAborted;
+    co_return reply;
+  }
+  co_return Unknown(*pin.group, task, attempt.reason);
+}
+
+asio::awaitable<void> StatementRunner::Rollback(TransactionPin& pin) {
+  auto lease = std::move(pin.lease);
+  std::vector<EndpointRequest> requests{OwnRequest(EndpointOperation::kRollback)};
+  const auto answer =
+      co_await lease->link->Run(std::move(requests), Clock::now() + kRollbackTimeout);
+  if (answer.failure || !answer.replies.front().reply.ok() ||
+      answer.replies.front().reply.state != SessionState::kIdle) {
+    lease.Discard();
+  }
+}
+
+Reply StatementRunner::Refuse(const GroupClient& group,
+                              const StatementTask& task,
+                              const std::string& reason) {
+  const auto waited = ToMillis(Clock::now() - task.received);
+  m_context.metrics.CountStatement("refused", Clock::now() - task.received);
+  m_context.events.Emit(
+      EventCode::kStatementRefused,
+      {.group = group.id(),
+       .request = task.statement.id.value(),
+       .detail = fmt::format("{} after {} ms; primary {}; {}", reason, waited.count(),
+                             group.primary_id() ? group.primary_id()->value() : "unknown",
+                             group.health().failing_since ? "failing" : "well")});
+  return ErrorReply(StatementError::kBusy,
+                    fmt::format("{}; retry after {} ms", reason, kRetryHint.count()),
+                    SessionState::kIdle);
+}
+
+Reply StatementRunner::Unknown(const GroupClient& group,
+                               const StatementTask& task,
+                               const std::string& reason) {
+  m_context.metrics.CountStatement("unknown", Clock::now() - task.received);
+  m_context.events.Emit(EventCode::kOutcomeUnknown,
+                        {.group = group.id(),
+                         .request = task.statement.id.value(),
+                         .detail = fmt::format("{} after {} ms", reason,
+                                               ToMillis(Clock::now() - task.received).count())});
+  return ErrorReply(StatementError::kInDoubt, reason, SessionState::kIdle);
+}
+
+void StatementRunner::LogAnswer(const GroupClient& group,
+                                const StatementTask& task,
+                                const Endpoint& endpoint,
+                                std::optional<Position> after,
+                                const Reply& reply) {
+  const auto taken = Clock::now() - task.received;
+  m_context.metrics.CountStatement("answered", taken);
+  m_context.events.Emit(EventCode::kStatementAnswered,
+                        {.group = group.id(),
+                         .endpoint = endpoint.entry.id,
+                         .request = task.statement.id.value(),
+                         .detail = fmt::format("after {} at {} in {} ms", ToText(after),
+                                               ToText(reply.position), ToMillis(taken).count())});
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/gateway/takeover.h
@@ -0,0 +1,67 @@
+// Replaces the primary of a group: fencing token, stop of the replicas, choice, order.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "directory/table_port.h"
+#include "failover/fence_row.h"
+#include "failover/successor.h"
+#include "gateway/group_client.h"
+
+namespace cardamom {
+
+enum class TakeoverReason {
+  // The primary does not answer, or none leads.
+  kFailed,
+  // The primary leaves.
+  kLeaving,
+  // The primary answers, but its replicas do not receive.
+  kStalled,
+};
+
+// Not thread safe: all use is on the thread of the context.
+class Takeover {
+ public:
+  Takeover(GatewayContext& context, TablePort table, PromotionOrder order);
+
+  // Tries once. Returns whether a new primary leads. Whatever stops it half-way leaves the group
+  // to the next try, at a greater token.
+  asio::awaitable<bool> Run(std::shared_ptr<GroupClient> group, TakeoverReason reason);
+
+ private:
+  using Statuses = std::map<EndpointId, EndpointStatus>;
+
+  struct Claim {
+    FenceRow row;
+    std::uint64_t version = 0;
+    // The holder before may have left an order under way.
+    bool was_open = false;
+  };
+
+  asio::awaitable<std::optional<Claim>> TakeToken(const GroupClient& group);
+  // Marks the row as having no order under way.
+  asio::awaitable<void> CloseRow(const GroupClient& group, FenceRow row);
+  // Sends `operation` to all of `targets` at once and gathers the answers.
+  asio::awaitable<Statuses> AskAll(std::shared_ptr<GroupClient> group,
+                                   std::vector<GroupClient::EndpointPtr> targets,
+                                   EndpointOperation operation,
+                                   Term term);
+  // Whether the replicas really receive nothing of a primary that answers.
+  asio::awaitable<bool> ConfirmStall(std::shared_ptr<GroupClient> group, const Statuses& before);
+  asio::awaitable<bool> Promote(std::shared_ptr<GroupClient> group,
+                                TakeoverReason reason,
+                                const Statuses& statuses,
+                                const Claim& claim);
+  asio::awaitable<bool> WaitForLead(std::shared_ptr<GroupClient> group, EndpointId endpoint);
+  void Log(EventCode code, const GroupClient& group, const std::string& detail, Term term = {});
+
+  GatewayContext& m_context;
+  const TablePort m_table;
+  const PromotionOrder m_order;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/group/watermark_history.cc
@@ -0,0 +1,64 @@
+#include "group/watermark_history.h"
+
+#include <algorithm>
+
+namespace cardamom {
+namespace {
+
+// Samples closer together than this add nothing to the choice of a position.
+constexpr Millis kLeastSpacing{10};
+
+}  // namespace
+
+void WatermarkHistory::Add(BootTime asked_at, Position position) {
+  const auto place =
+      std::upper_bound(m_samples.begin(), m_samples.end(), asked_at,
+                       [](BootTime time, const Sample& sample) { return time < sample.asked_at; });
+  // A sample between two that lie closer than the spacing is left out; the youngest is always kept.
+  if (place != m_samples.end() && place != m_samples.begin() &&
+      place->asked_at - std::prev(place)->asked_at < kLeastSpacing) {
+    return;
+  }
+  m_samples.insert(place, Sample{asked_at, position});
+  while (m_samples.size() > 1 && m_samples.back().asked_at - m_samples.front().asked_at > m_keep) {
+    m_samples.pop_front();
+  }
+}
+
+std::optional<Position> WatermarkHistory::Covering(BootTime not_before) const {
+  std::optional<Position> least;
+  for (auto it = m_samples.rbegin(); it != m_samples.rend() && it->asked_at >= not_before; ++it) {
+    least = least ? std::min(*least, it->position) : it->position;
+  }
+  return least;
+}
+
+std::optional<BootTime> WatermarkHistory::Youngest() const {
+  if (m_samples.empty()) {
+    return std::nullopt;
+  }
+  return m_samples.back().asked_at;
+}
+
+std::optional<BootTime> WatermarkHistory::FirstCovered(Position position) const {
+  const auto it =
+      std::find_if(m_samples.begin(), m_samples.end(),
+                   [position](const Sample& sample) { return sample.position >= position; });
+  if (it == m_samples.end()) {
+    return std::nullopt;
+  }
+  return it->asked_at;
+}
+
+Duration WatermarkHistory::LagOf(Position applied, BootTime now) const {
+  // The oldest sample above what was applied: the server lacks a commit that old.
+  const auto it = std::find_if(m_samples.begin(), m_samples.end(), [applied](const Sample& sample) {
+    return sample.position > applied;
+  });
+  if (it == m_samples.end() || it->asked_at >= now) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(now - it->asked_at);
+}
+
+}  // namespace cardamom
--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -10,6 +10,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/socket_options.h"
+
 namespace cardamom {
 namespace {
 
@@ -50,7 +52,7 @@
     if (ec) {
       co_return TransportError(ec, Ran::kNo);
     }
-    m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true));
+    SetLivenessOptions(m_stream.socket().native_handle());
     m_usable = true;
     co_return Outcome<void>();
   }
--- /dev/null
+++ b/src/http/socket_options.h
@@ -0,0 +1,27 @@
+// Options of long-lived TCP connections.
+#pragma once
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cardamom {
+
+// Makes a connection whose other side has gone silent fail within about 3 s, sends small writes at
+// once. An option that the system does not know is left as it is. Thread safe.
+inline void SetLivenessOptions(int socket) {
+  const auto set = [socket](int level, int option, int value) {
+    (void)::setsockopt(socket, level, option, &value, sizeof(value));
+  };
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr int kUnansweredMs = 3000;
+  set(IPPROTO_TCP, TCP_NODELAY, 1);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnansweredMs);
+}
+
+}  // namespace cardamom
--- a/src/membership/rendezvous.h
+++ b/src/membership/rendezvous.h
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/platform_messages.h"
+#include "table/platform_messages.h"
 
 namespace cardamom {
 
--- /dev/null
+++ b/src/pool/link_pool.cc
@@ -0,0 +1,178 @@
+#include "pool/link_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cardamom {
+
+LinkPool::Lease::Lease(std::shared_ptr<LinkPool> pool, std::unique_ptr<PooledLink> link)
+    : m_pool(std::move(pool)), m_link(std::move(link)) {}
+
+LinkPool::Lease::~Lease() {
+  Release();
+}
+
+LinkPool::Lease& LinkPool::Lease::operator=(Lease&& other) noexcept {
+  if (this != &other) {
+    Release();
+    m_pool = std::move(other.m_pool);
+    m_link = std::move(other.m_link);
+  }
+  return *this;
+}
+
+void LinkPool::Lease::Discard() {
+  if (m_link) {
+    m_link->link->Close();
+    Release();
+  }
+}
+
+void LinkPool::Lease::Release() {
+  if (m_link) {
+    const auto pool = std::move(m_pool);
+    pool->GiveBack(std::move(m_link));
+  }
+}
+
+LinkPool::LinkPool(boost::asio::io_context& context,
+                   EndpointEntry entry,
+                   LinkOpener opener,
+                   std::size_t max_links)
+    : m_context(context),
+      m_entry(std::move(entry)),
+      m_opener(std::move(opener)),
+      m_max(max_links) {}
+
+std::unique_ptr<PooledLink> LinkPool::TakeIdle(const SessionValues& values) {
+  while (!m_idle.empty()) {
+    auto best = std::find_if(m_idle.rbegin(), m_idle.rend(),
+                             [&](const auto& link) { return link->values == values; });
+    auto place = best == m_idle.rend() ? std::prev(m_idle.end()) : std::prev(best.base());
+    auto link = std::move(*place);
+    m_idle.erase(place);
+    if (link->link->IsOpen()) {
+      return link;
+    }
+    --m_open;
+  }
+  return nullptr;
+}
+
+asio::awaitable<Outcome<LinkPool::Lease>> LinkPool::Acquire(SessionValues values,
+                                                            LinkUse use,
+                                                            TimePoint deadline) {
+  if (m_retired) {
+    co_return Error{ResultCode::kTransport, "the server left", Ran::kNo};
+  }
+  if (auto idle = TakeIdle(values)) {
+    co_return Lease(shared_from_this(), std::move(idle));
+  }
+  const auto limit = use == LinkUse::kControl ? m_max + 1 : m_max;
+  if (m_open < limit) {
+    ++m_open;
+    co_return co_await Open(deadline);
+  }
+  if (use == LinkUse::kControl) {
+    co_return Error{ResultCode::kOverloaded, "no link is free", Ran::kNo};
+  }
+  co_return co_await Wait(deadline);
+}
+
+asio::awaitable<Outcome<LinkPool::Lease>> LinkPool::Open(TimePoint deadline) {
+  const auto self = shared_from_this();
+  auto link = co_await m_opener(m_entry, deadline);
+  if (!link) {
+    --m_open;
+    OnClosed();
+    co_return link.error();
+  }
+  auto pooled = std::make_unique<PooledLink>();
+  pooled->link = std::move(*link);
+  co_return Lease(self, std::move(pooled));
+}
+
+asio::awaitable<Outcome<LinkPool::Lease>> LinkPool::Wait(TimePoint deadline) {
+  const auto self = shared_from_this();
+  const auto waiter = std::make_shared<Waiter>(m_context);
+  m_waiters.push_back(waiter);
+  waiter->timer.expires_at(deadline);
+  co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  m_waiters.remove(waiter);
+  if (waiter->link) {
+    co_return Lease(self, std::move(waiter->link));
+  }
+  if (waiter->may_open) {
+    co_return co_await Open(deadline);
+  }
+  co_return Error{ResultCode::kOverloaded, waiter->refused ? "the server left" : "no link is free",
+                  Ran::kNo};
+}
+
+asio::awaitable<void> LinkPool::Warm(std::size_t count, TimePoint deadline) {
+  const auto self = shared_from_this();
+  std::vector<Lease> opened;
+  while (!m_retired && m_open < std::min(count, m_max)) {
+    ++m_open;
+    auto lease = co_await Open(deadline);
+    if (!lease) {
+      co_return;
+    }
+    opened.push_back(std::move(*lease));
+  }
+}
+
+void LinkPool::GiveBack(std::unique_ptr<PooledLink> link) {
+  if (!link->link->IsOpen() || m_retired || (m_open > m_max && m_waiters.empty())) {
+    link->link->Close();
+    --m_open;
+    OnClosed();
+    return;
+  }
+  for (const auto& waiter : m_waiters) {
+    if (!waiter->link && !waiter->may_open && !waiter->refused) {
+      waiter->link = std::move(link);
+      waiter->timer.cancel();
+      return;
+    }
+  }
+  m_idle.push_back(std::move(link));
+}
+
+void LinkPool::OnClosed() {
+  if (m_retired || m_open >= m_max) {
+    return;
+  }
+  for (const auto& waiter : m_waiters) {
+    if (!waiter->link && !waiter->may_open && !waiter->refused) {
+      waiter->may_open = true;
+      ++m_open;
+      waiter->timer.cancel();
+      return;
+    }
+  }
+}
+
+void LinkPool::CloseIdle() {
+  for (const auto& link : m_idle) {
+    link->link->Close();
+  }
+  m_open -= m_idle.size();
+  m_idle.clear();
+}
+
+void LinkPool::Retire() {
+  m_retired = true;
+  CloseIdle();
+  for (const auto& waiter : m_waiters) {
+    if (!waiter->link && !waiter->may_open) {
+      waiter->refused = true;
+      waiter->timer.cancel();
+    }
+  }
+}
+
+}  // namespace cardamom
--- a/src/proxy/config_follower.h
+++ b/src/proxy/config_follower.h
@@ -8,10 +8,10 @@
 #include <random>
 
 #include "config/config_state.h"
-#include "platform/platform_client.h"
 #include "proxy/membership.h"
 #include "proxy/peer_client.h"
 #include "proxy/peer_messages.h"
+#include "table/platform_client.h"
 
 namespace cardamom {
 
--- a/src/proxy/membership.h
+++ b/src/proxy/membership.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "http/address.h"
-#include "platform/platform_messages.h"
+#include "table/platform_messages.h"
 
 namespace cardamom {
 
--- a/src/proxy/peer_client.h
+++ b/src/proxy/peer_client.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "http/connection_pool.h"
-#include "platform/platform_messages.h"
 #include "proxy/proxy_context.h"
+#include "table/platform_messages.h"
 
 namespace cardamom {
 
--- a/src/proxy/term_store.h
+++ b/src/proxy/term_store.h
@@ -6,7 +6,7 @@
 
 #include "async/notifier.h"
 #include "failover/term_row.h"
-#include "platform/platform_client.h"
+#include "table/platform_client.h"
 
 namespace cardamom {
 
--- /dev/null
+++ b/src/settings/gateway_settings.h
@@ -0,0 +1,50 @@
+// Settings of the daemon as a session gateway.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "cardamom/error.h"
+#include "settings/settings_table.h"
+
+namespace cardamom {
+
+// A value type; distinct objects may be used from distinct threads.
+struct GatewaySettings {
+  std::string vm_id;
+  std::string domain;
+  std::string region;
+  std::string listen_sessions;
+  std::string listen_ready;
+  std::string listen_metrics;
+  std::string store;
+  std::string orders;
+  std::string log_format;
+  std::string log_level;
+  std::int64_t event_ring = 0;
+  std::int64_t log_queue_kb = 0;
+  std::int64_t max_files = 0;
+  std::int64_t stop_notice_ms = 0;
+  std::int64_t stop_limit_ms = 0;
+  std::int64_t drain_ms = 0;
+  std::int64_t list_poll_ms = 0;
+  std::int64_t list_return_ms = 0;
+  std::int64_t expected_vms = 0;
+
+  // Reads flags, environment and the settings file. Errors: kBadSetting whose detail lists every
+  // problem. Thread safe.
+  static Checked<GatewaySettings> Read(const std::vector<std::string>& arguments,
+                                       const SettingsEnvironment& environment);
+
+  // Takes from `read` what may change while the process runs: all numbers but the sizes of queues,
+  // and the log level. Returns the names of the settings that changed, and of those that would
+  // need a restart.
+  std::string AdoptChangeable(const GatewaySettings& read);
+};
+
+std::span<const NumberSettingOf<GatewaySettings>> GatewayNumberSettings();
+std::span<const TextSettingOf<GatewaySettings>> GatewayTextSettings();
+
+}  // namespace cardamom
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -3,17 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 
 #include <fmt/format.h>
 #include <boost/leaf/error.hpp>
-#include <boost/program_options.hpp>
 
 namespace cardamom {
 namespace {
 
-namespace po = boost::program_options;
-
 constexpr std::array kNumbers = {
     NumberSetting{"threads", &Settings::threads, 2, 1, 256, "threads", "Workers."},
     NumberSetting{"event-ring", &Settings::event_ring, 4096, 16, 1'000'000, "events",
@@ -77,25 +73,7 @@
 
 constexpr std::size_t kLeastKeyLength = 16;
 
-using Problems = std::vector<std::string>;
-
-void ReadNumber(const NumberSetting& setting,
-                const std::optional<std::string>& text,
-                Settings& settings,
-                Problems& problems) {
-  auto value = setting.initial;
-  if (text) {
-    const auto* end = text->data() + text->size();
-    const auto [stop, error] = std::from_chars(text->data(), end, value);
-    if (error != std::errc() || stop != end || value < setting.least || value > setting.most) {
-      problems.push_back(fmt::format("{}: '{}' is not a whole number from {} to {} ({})",
-                                     setting.name, *text, setting.least, setting.most,
-                                     setting.unit));
-      return;
-    }
-  }
-  settings.*setting.member = value;
-}
+using Problems = SettingsProblems;
 
 void CheckOneOf(std::string_view name,
                 const std::string& value,
@@ -130,17 +108,6 @@
   }
 }
 
-po::options_description Describe() {
-  po::options_description options;
-  for (const auto& setting : kNumbers) {
-    options.add_options()(std::string(setting.name).c_str(), po::value<std::string>());
-  }
-  for (const auto& setting : kTexts) {
-    options.add_options()(std::string(setting.name).c_str(), po::value<std::string>());
-  }
-  return options;
-}
-
 }  // namespace
 
 std::span<const NumberSetting> NumberSettings() {
@@ -161,30 +128,8 @@
 
 Checked<Settings> Settings::Read(const std::vector<std::string>& arguments,
                                  const Environment& environment) {
-  po::variables_map flags;
   Problems problems;
-  try {
-    po::store(po::command_line_parser(arguments).options(Describe()).run(), flags);
-  } catch (const po::error& failure) {
-    problems.emplace_back(failure.what());
-  }
-  const auto text_of = [&](std::string_view name) -> std::optional<std::string> {
-    const auto flag = flags.find(std::string(name));
-    if (flag != flags.end()) {
-      return flag->second.as<std::string>();
-    }
-    return environment(EnvironmentName(name));
-  };
-  Settings settings;
-  for (const auto& setting : kNumbers) {
-    ReadNumber(setting, text_of(setting.name), settings, problems);
-  }
-  for (const auto& setting : kTexts) {
-    settings.*setting.member = text_of(setting.name).value_or(std::string(setting.initial));
-    if (setting.required && (settings.*setting.member).empty()) {
-      problems.push_back(fmt::format("{}: is required", setting.name));
-    }
-  }
+  const auto settings = ReadSettings<Settings>(kNumbers, kTexts, arguments, environment, problems);
   CheckTexts(settings, problems);
   if (!problems.empty()) {
     return boost::leaf::new_error(
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -11,6 +11,7 @@
 
 #include "cardamom/error.h"
 #include "http/address.h"
+#include "settings/settings_table.h"
 
 namespace cardamom {
 
@@ -49,8 +50,7 @@
   std::int64_t stop_limit_ms = 0;
   std::int64_t spare_shares = 0;
 
-  // Looks up an environment variable.
-  using Environment = std::function<std::optional<std::string>(const std::string& name)>;
+  using Environment = SettingsEnvironment;
 
   // Reads flags, then environment variables for what no flag gives, then defaults. Errors:
   // kBadSetting whose detail lists every problem. Thread safe.
@@ -58,30 +58,10 @@
                                 const Environment& environment);
 };
 
-// A setting whose value is a whole number.
-struct NumberSetting {
-  std::string_view name;
-  std::int64_t Settings::*member;
-  std::int64_t initial;
-  std::int64_t least;
-  std::int64_t most;
-  std::string_view unit;
-  std::string_view meaning;
-};
-
-// A setting whose value is a text.
-struct TextSetting {
-  std::string_view name;
-  std::string Settings::*member;
-  std::string_view initial;
-  bool required;
-  std::string_view meaning;
-};
+using NumberSetting = NumberSettingOf<Settings>;
+using TextSetting = TextSettingOf<Settings>;
 
 std::span<const NumberSetting> NumberSettings();
 std::span<const TextSetting> TextSettings();
 
-// Name of the environment variable of a setting. Thread safe.
-std::string EnvironmentName(std::string_view setting);
-
 }  // namespace cardamom
--- /dev/null
+++ b/src/settings/settings_table.cc
@@ -0,0 +1,37 @@
+#include "settings/settings_table.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace cardamom::detail {
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+// Above this a double no longer holds every whole number.
+constexpr double kLargest = 9e15;
+
+}  // namespace
+
+std::optional<std::int64_t> ParseNumber(std::string_view text, std::string_view unit) {
+  const bool is_duration = unit == "ms";
+  double scale = 1;
+  if (is_duration && text.ends_with('s')) {
+    text.remove_suffix(1);
+    if (text.ends_with('m')) {
+      text.remove_suffix(1);
+    } else {
+      scale = kMillisPerSecond;
+    }
+  }
+  double value = 0;
+  const auto* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  value *= scale;
+  if (error != std::errc() || stop != end || !(std::abs(value) < kLargest) ||
+      (!is_duration && value != std::floor(value))) {
+    return std::nullopt;
+  }
+  return std::llround(value);
+}
+
+}  // namespace cardamom::detail
--- a/src/platform/platform_client.cc
+++ b/src/table/platform_client.cc
@@ -1,4 +1,4 @@
-#include "platform/platform_client.h"
+#include "table/platform_client.h"
 
 #include <utility>
 
--- a/src/platform/platform_client.h
+++ b/src/table/platform_client.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "http/connection_pool.h"
-#include "platform/platform_messages.h"
+#include "table/platform_messages.h"
 
 namespace cardamom {
 
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -10,7 +10,7 @@
 
 #include "async/notifier.h"
 #include "http/http_server.h"
-#include "platform/platform_messages.h"
+#include "table/platform_messages.h"
 
 namespace cardamom {
 
--- a/tools/cardamomd.cc
+++ b/tools/cardamomd.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include "gateway_daemon.h"
 #include "proxy/proxy.h"
 
 namespace {
@@ -81,6 +82,10 @@
 
 int main(int argc, char** argv) {
   std::vector<std::string> arguments(argv + 1, argv + argc);
+  if (!arguments.empty() && arguments.front() == "gateway") {
+    arguments.erase(arguments.begin());
+    return cardamom::RunGateway(std::move(arguments));
+  }
   if (std::find(arguments.begin(), arguments.end(), "--help") != arguments.end()) {
     PrintHelp();
     return EXIT_SUCCESS;
--- /dev/null
+++ b/tools/gateway_daemon.cc
@@ -0,0 +1,195 @@
+#include "gateway_daemon.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include "async/notifier.h"
+#include "async/spawn.h"
+#include "gateway/gateway.h"
+#include "platform/line_front.h"
+#include "platform/prepared_platform.h"
+
+namespace cardamom {
+namespace {
+
+constexpr int kExitSettings = 2;
+constexpr int kExitListen = 3;
+// Descriptors kept for files, links to servers, peers and the store.
+constexpr std::int64_t kReservedFiles = 500;
+constexpr std::size_t kBytesPerKb = 1024;
+constexpr Millis kFileCheckInterval{1000};
+
+std::optional<std::string> FromEnvironment(const std::string& name) {
+  const char* value = std::getenv(name.c_str());
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+int Report(const Error& error) {
+  std::cerr << "error " << static_cast<int>(error.code) << " " << InfoOf(error.code).name << ": "
+            << error.detail << "\n";
+  return error.code == ResultCode::kBadSetting ? kExitSettings : kExitListen;
+}
+
+void PrintHelp() {
+  std::cout << "cardamomd gateway: session gateway on the prepared platform\n\n"
+               "  --check-settings  check the settings and exit\n"
+               "  --settings-file   file with lines of the form name = value\n";
+  for (const auto& setting : GatewayTextSettings()) {
+    std::cout << "  --" << setting.name << "  " << setting.meaning << "\n";
+  }
+  for (const auto& setting : GatewayNumberSettings()) {
+    std::cout << "  --" << setting.name << "  " << setting.meaning << " (" << setting.least
+              << " to " << setting.most << " " << setting.unit << ", default " << setting.initial
+              << ")\n";
+  }
+}
+
+// The gateway with its listeners and its reaction to signals.
+class Daemon {
+ public:
+  Daemon(const GatewaySettings& settings, std::vector<std::string> arguments)
+      : m_arguments(std::move(arguments)),
+        m_settings(settings),
+        m_gateway(m_context, m_settings, platform::MakePorts(m_context, m_settings)),
+        m_front(m_context, m_gateway.front(), MaxConnections()),
+        m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+        m_file_time(FileTime()) {}
+
+  int Run() {
+    const auto sessions = m_front.Listen(*Address::Parse(m_settings.listen_sessions));
+    if (!sessions) {
+      return Report(sessions.error());
+    }
+    auto ready = Listen(m_settings.listen_ready,
+                        [this](HttpRequest request) { return AnswerReady(std::move(request)); });
+    if (!ready) {
+      return Report(ready.error());
+    }
+    auto metrics = Listen(m_settings.listen_metrics, [this](HttpRequest request) {
+      return m_gateway.HandleOperations(std::move(request));
+    });
+    if (!metrics) {
+      return Report(metrics.error());
+    }
+    m_gateway.Start();
+    WaitForSignal();
+    Spawn(m_context, [this]() -> asio::awaitable<void> { co_await WatchSettingsFile(); });
+    m_context.run();
+    // Whatever still waits belongs to nobody; leaving at once spares its tear-down.
+    std::_Exit(EXIT_SUCCESS);
+  }
+
+ private:
+  std::size_t MaxConnections() const {
+    return static_cast<std::size_t>(
+        std::max<std::int64_t>(16, m_settings.max_files - kReservedFiles));
+  }
+
+  Outcome<std::unique_ptr<HttpServer>> Listen(const std::string& address,
+                                              HttpServer::Handler handler) {
+    HttpServerOptions options;
+    options.listen = *Address::Parse(address);
+    return HttpServer::Create(m_context, options, {std::move(handler), {}, {}});
+  }
+
+  asio::awaitable<HttpResponse> AnswerReady(HttpRequest request) {
+    HttpResponse response;
+    const bool asked = request.target == platform::kReadyPath;
+    response.status = asked && m_gateway.IsReady() ? 200 : asked ? 503 : 404;
+    co_return response;
+  }
+
+  void WaitForSignal() {
+    m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
+      if (ec) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload();
+      } else if (!m_stopping) {
+        m_stopping = true;
+        m_gateway.Stop([this] { return m_front.CloseIdle(); }, [this] { m_context.stop(); });
+      }
+      WaitForSignal();
+    });
+  }
+
+  // Changes of the file are found without a signal too.
+  asio::awaitable<void> WatchSettingsFile() {
+    for (;;) {
+      co_await Sleep(kFileCheckInterval);
+      if (FileTime() != m_file_time) {
+        Reload();
+      }
+    }
+  }
+
+  std::optional<std::filesystem::file_time_type> FileTime() const {
+    const auto place = std::find(m_arguments.begin(), m_arguments.end(), "--settings-file");
+    if (place == m_arguments.end() || std::next(place) == m_arguments.end()) {
+      return std::nullopt;
+    }
+    std::error_code ec;
+    const auto time = std::filesystem::last_write_time(*std::next(place), ec);
+    return ec ? std::nullopt : std::optional(time);
+  }
+
+  // Takes the settings that may change while the process runs. Addresses and names stay.
+  void Reload() {
+    m_file_time = FileTime();
+    boost::leaf::try_handle_all(
+        [this]() -> Checked<void> {
+          BOOST_LEAF_AUTO(read, GatewaySettings::Read(m_arguments, &FromEnvironment));
+          const auto changed = m_settings.AdoptChangeable(read);
+          EventLog::SetLevel(m_settings.log_level);
+          m_gateway.events().Emit(EventCode::kSettingsReloaded, {.detail = changed});
+          return {};
+        },
+        [this](const Error& error) {
+          m_gateway.events().Emit(EventCode::kSettingsRefused, {.detail = error.detail});
+        },
+        [] {});
+  }
+
+  boost::asio::io_context m_context{1};
+  const std::vector<std::string> m_arguments;
+  GatewaySettings m_settings;
+  Gateway m_gateway;
+  platform::LineFront m_front;
+  boost::asio::signal_set m_signals;
+  std::optional<std::filesystem::file_time_type> m_file_time;
+  bool m_stopping = false;
+};
+
+}  // namespace
+
+int RunGateway(std::vector<std::string> arguments) {
+  if (std::erase(arguments, "--help") > 0) {
+    PrintHelp();
+    return EXIT_SUCCESS;
+  }
+  const bool check_only = std::erase(arguments, "--check-settings") > 0;
+  return boost::leaf::try_handle_all(
+      [&]() -> Checked<int> {
+        BOOST_LEAF_AUTO(settings, GatewaySettings::Read(arguments, &FromEnvironment));
+        if (check_only) {
+          std::cout << "the settings are valid\n";
+          return EXIT_SUCCESS;
+        }
+        EventLog::ConfigureBoundedLogging(
+            settings.log_format == "json" ? LogFormat::kJson : LogFormat::kText, settings.log_level,
+            static_cast<std::size_t>(settings.log_queue_kb) * kBytesPerKb);
+        // A caller that goes away must not end the process.
+        std::signal(SIGPIPE, SIG_IGN);
+        Daemon daemon(settings, arguments);
+        return daemon.Run();
+      },
+      [](const Error& error) { return Report(error); }, [] { return kExitSettings; });
+}
+
+}  // namespace cardamom
