--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -15,7 +15,7 @@
   std::uint64_t token = 0;
   // The proxy that holds it.
   std::string holder;
-  // The holder may have sent an order that has not been answered.
+  // The holder may have sent an order that was not answered, or is still being carried out.
   bool open = false;
   // The store's clock when the row was written.
   std::int64_t at_ms = 0;
@@ -29,13 +29,20 @@
   kWait,
 };
 
-// How long a holder is left alone. It covers the stopping of the replicas and the order.
-constexpr Millis kFenceQuiet{1500};
+// A holder that has not ordered within this time after it took the token gives up.
+constexpr Millis kOrderWithin{1000};
+// How long a holder is left alone before its order, and after it. The latter covers the platform's
+// time to carry the order out: what a second holder compares must not change under it.
+constexpr Millis kQuietBeforeOrder{1200};
+constexpr Millis kQuietAfterOrder{2500};
 
 // Pure and thread safe. `now_ms` is the store's clock.
 inline FenceClaim JudgeFence(const FenceRow& row, const std::string& self, std::int64_t now_ms) {
-  const bool recent = now_ms - row.at_ms < kFenceQuiet.count();
-  return row.token != 0 && row.holder != self && recent ? FenceClaim::kWait : FenceClaim::kClaim;
+  if (row.token == 0 || row.holder == self) {
+    return FenceClaim::kClaim;
+  }
+  const auto quiet = row.open ? kQuietAfterOrder : kQuietBeforeOrder;
+  return now_ms - row.at_ms < quiet.count() ? FenceClaim::kWait : FenceClaim::kClaim;
 }
 
 }  // namespace cardamom
--- a/src/failover/successor.cc
+++ b/src/failover/successor.cc
@@ -12,7 +12,7 @@
   const StoppedServer* best = nullptr;
   for (const auto& server : servers) {
     if (!server.stopped) {
-      all_replicas = all_replicas && server.was_primary;
+      all_replicas = all_replicas && (server.was_primary || server.gone_long_ago);
       continue;
     }
     if (server.was_primary) {
--- a/src/failover/successor.h
+++ b/src/failover/successor.h
@@ -15,8 +15,11 @@
   bool was_primary = false;
   // It answered, and receives nothing until it is told to.
   bool stopped = false;
-  // It leaves and must not lead.
+  // It leaves, or the list no longer shows it: it must not lead.
   bool leaving = false;
+  // It is known to be gone for long enough that every commit acknowledged since is on another
+  // replica, which then holds all earlier ones too.
+  bool gone_long_ago = false;
   // Last entry of its log.
   Position received;
 };
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -13,12 +13,16 @@
 // Samples back to the largest age that a route may allow are kept.
 constexpr Millis kKeepSamples{20'000};
 // A primary that gave no answer for this long is asked whether it still leads.
-constexpr Millis kProbeAfterSilence{400};
-constexpr Millis kWatchTick{100};
+constexpr Millis kProbeAfterSilence{300};
+constexpr Millis kWatchTick{60};
 // A probe takes no slot and no disk: a healthy server answers within the round trip.
-constexpr Millis kProbeTimeout{300};
-constexpr Millis kSearchPause{100};
+constexpr Millis kProbeTimeout{220};
+constexpr Millis kSearchPause{80};
 constexpr Millis kWarmTimeout{2000};
+constexpr Millis kDepartedMemory{30'000};
+// Servers enter the list with their first sign of life; until then it may lack some.
+constexpr Millis kListSettles{3000};
+constexpr Millis kLimitMemory{1000};
 // A server that failed is avoided for this long, doubled with each failure in a row.
 constexpr Millis kAvoidBase{100};
 constexpr Millis kAvoidMost{1000};
@@ -78,22 +82,10 @@
   for (const auto& entry : entries) {
     listed[entry.id] = &entry;
   }
-  for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
-    const auto found = listed.find(it->first);
-    const bool same = found != listed.end() &&
-                      found->second->address == it->second->entry.address &&
-                      found->second->started_ms == it->second->entry.started_ms;
-    if (same) {
-      ++it;
-      continue;
-    }
-    it->second->pool->Retire();
-    m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
-    if (m_primary == it->first) {
-      m_primary.reset();
-    }
-    it = m_endpoints.erase(it);
+  if (!m_first_listed && !entries.empty()) {
+    m_first_listed = Clock::now();
   }
+  DropMissing(listed);
   for (const auto& [id, entry] : listed) {
     auto endpoint = Find(id);
     if (!endpoint) {
@@ -113,6 +105,45 @@
   }
 }
 
+void GroupClient::DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed) {
+  const auto now = Clock::now();
+  std::erase_if(m_departed, [&](const DepartedServer& server) {
+    return now - server.since > kDepartedMemory ||
+           (!server.reborn && listed.contains(server.endpoint->entry.id));
+  });
+  for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+    const auto found = listed.find(it->first);
+    const bool same = found != listed.end() &&
+                      found->second->address == it->second->entry.address &&
+                      found->second->started_ms == it->second->entry.started_ms;
+    if (same) {
+      ++it;
+      continue;
+    }
+    if (!it->second->entry.leaving) {
+      m_departed.push_back({it->second, now, found != listed.end(), m_primary == it->first});
+    }
+    it->second->pool->Retire();
+    m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
+    if (m_primary == it->first) {
+      m_primary.reset();
+    }
+    it = m_endpoints.erase(it);
+  }
+}
+
+std::vector<DepartedServer> GroupClient::Departed() const {
+  return m_departed;
+}
+
+bool GroupClient::IsListSettled() const {
+  return m_first_listed && Clock::now() - *m_first_listed > kListSettles;
+}
+
+bool GroupClient::IsAtConnectionLimit() const {
+  return Clock::now() - m_limit_seen < kLimitMemory;
+}
+
 void GroupClient::Start() {
   const auto self = shared_from_this();
   Spawn(m_context.io, [self]() -> asio::awaitable<void> { co_await self->Watch(); });
@@ -198,6 +229,9 @@
                                                               TimePoint deadline) {
   auto lease = co_await endpoint->pool->Acquire({}, LinkUse::kControl, deadline);
   if (!lease) {
+    if (lease.error().code == ResultCode::kOverloaded) {
+      m_limit_seen = Clock::now();
+    }
     co_return lease.error();
   }
   std::vector<EndpointRequest> requests{OwnRequest(operation, term)};
@@ -220,6 +254,8 @@
   if (!lease) {
     if (lease.error().code != ResultCode::kOverloaded) {
       OnLinkFailure(endpoint, lease.error().code == ResultCode::kConnectionRefused);
+    } else {
+      m_limit_seen = Clock::now();
     }
     co_return std::nullopt;
   }
@@ -237,10 +273,6 @@
     if (begun.error && begun.error->code == StatementError::kReadOnly) {
       OnLostLead(endpoint);
     }
-    if (!answer.replies.back().reply.ok()) {
-      // The transaction that was not opened could not be ended either.
-      co_return std::nullopt;
-    }
     co_return std::nullopt;
   }
   OnPrimaryAnswer(endpoint, asked_at, *begun.position);
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -26,6 +26,17 @@
   std::optional<TimePoint> stalled_since;
 };
 
+// A server that the list no longer shows though it had not announced to leave: it may only be cut
+// off from the store, and still acknowledge commits.
+struct DepartedServer {
+  std::shared_ptr<Endpoint> endpoint;
+  TimePoint since;
+  // The same server has started anew, without its log.
+  bool reborn = false;
+  // It was the primary: what it alone held was never acknowledged.
+  bool was_primary = false;
+};
+
 // Not thread safe: all use is on the thread of the context.
 class GroupClient : public std::enable_shared_from_this<GroupClient> {
  public:
@@ -68,6 +79,12 @@
 
   const std::map<EndpointId, EndpointPtr>& endpoints() const { return m_endpoints; }
   EndpointPtr Find(const EndpointId& id) const;
+  // Servers that departed within the last half minute.
+  std::vector<DepartedServer> Departed() const;
+  // The list of servers has been read for long enough to be whole.
+  bool IsListSettled() const;
+  // A server said within the last second that it has no connection to spare: it is alive.
+  bool IsAtConnectionLimit() const;
   const PrimaryHealth& health() const { return m_health; }
   const std::optional<EndpointId>& primary_id() const { return m_primary; }
   Term term() const { return m_term; }
@@ -86,6 +103,8 @@
 
  private:
   void AddEndpoint(const EndpointEntry& entry);
+  // Drops the servers that `listed` does not show.
+  void DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed);
   void SetPrimary(const EndpointPtr& endpoint, Term term, const char* source);
   asio::awaitable<void> Watch();
   // Probes every server until one leads. One search runs at a time.
@@ -99,6 +118,9 @@
   GroupSettings m_settings;
   std::size_t m_share = 2;
   std::map<EndpointId, EndpointPtr> m_endpoints;
+  std::vector<DepartedServer> m_departed;
+  std::optional<TimePoint> m_first_listed;
+  TimePoint m_limit_seen;
   std::optional<EndpointId> m_primary;
   Term m_term;
   WatermarkHistory m_watermarks;
--- a/src/gateway/primary_steward.cc
+++ b/src/gateway/primary_steward.cc
@@ -7,14 +7,14 @@
 namespace cardamom {
 namespace {
 
-constexpr Millis kTick{50};
+constexpr Millis kTick{25};
 // Proxies start their takeovers apart by up to kSteps - 1 steps, in an order that the group's name
 // decides.
 constexpr std::uint64_t kSteps = 8;
-constexpr Millis kStep{70};
+constexpr Millis kStep{30};
 // Pause after a try that did not finish.
 constexpr Millis kRetryPause{250};
-// A primary that leaves is replaced without haste: all proxies learn of it at different times.
+// Pause after a try that settled the matter.
 constexpr Millis kAfterTakeover{1500};
 
 }  // namespace
@@ -23,7 +23,7 @@
                                             const StewardPolicy& policy,
                                             Duration delay,
                                             TimePoint now) {
-  if (!view.has_servers) {
+  if (!view.has_servers || !view.list_settled || view.at_connection_limit) {
     return std::nullopt;
   }
   if (view.leaderless_since && now - *view.leaderless_since > policy.leaderless_limit + delay) {
@@ -85,6 +85,8 @@
   }
   StewardView view;
   view.has_servers = !group->endpoints().empty();
+  view.list_settled = group->IsListSettled();
+  view.at_connection_limit = group->IsAtConnectionLimit();
   view.has_primary = primary != nullptr;
   view.health = group->health();
   view.leaderless_since = state.leaderless_since;
--- a/src/gateway/primary_steward.h
+++ b/src/gateway/primary_steward.h
@@ -13,11 +13,11 @@
 // When a takeover is due.
 struct StewardPolicy {
   // Silence of a primary whose process refuses connections.
-  Millis refused_limit{250};
+  Millis refused_limit{150};
   // Silence of a primary that might only be slow.
-  Millis silent_limit{600};
+  Millis silent_limit{260};
   // A group in which nobody leads.
-  Millis leaderless_limit{900};
+  Millis leaderless_limit{800};
   // Commits without an acknowledgement.
   Millis stall_limit{700};
   // Evidence of a stall older than this is forgotten.
@@ -27,6 +27,10 @@
 // What the steward knows of a group.
 struct StewardView {
   bool has_servers = false;
+  // The list of servers is known to be whole.
+  bool list_settled = false;
+  // A server has no connection to spare, so that silence says nothing.
+  bool at_connection_limit = false;
   bool has_primary = false;
   bool primary_leaving = false;
   PrimaryHealth health;
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -11,13 +11,20 @@
 
 constexpr const char* kFenceTable = "fences";
 constexpr Millis kStoreTimeout{800};
-constexpr Millis kControlTimeout{500};
+constexpr Millis kControlTimeout{400};
+// A status takes a slot, but servers that are well answer far sooner.
+constexpr Millis kStatusTimeout{250};
 constexpr Millis kOrderTimeout{1000};
 // Longest time from an accepted order to the answers of the new primary.
 constexpr Millis kLeadTimeout{3000};
 constexpr Millis kLeadPoll{50};
 // A replica that receives nothing for this long while the primary is ahead is cut off.
 constexpr Millis kStallCheck{300};
+// A replica that is gone for this long acknowledged nothing since; what it had acknowledged before
+// has reached the others.
+constexpr Millis kGoneLongAgo{4000};
+// As above, where the server does not even refuse: neither the store nor this proxy hears it.
+constexpr Millis kSilentLongAgo{8000};
 
 std::string_view NameOf(TakeoverReason reason) {
   switch (reason) {
@@ -47,13 +54,14 @@
     co_return std::nullopt;
   }
   Claim claim;
+  std::uint64_t version = 0;
   for (const auto& row : rows->rows) {
     if (row.key == group.id().value()) {
       const auto decoded = Decode<FenceRow>(row.value);
       if (decoded) {
         claim.row = *decoded;
       }
-      claim.version = row.version;
+      version = row.version;
     }
   }
   const auto& self = m_context.settings.vm_id;
@@ -61,8 +69,9 @@
     co_return std::nullopt;
   }
   claim.was_open = claim.row.open;
-  claim.row = FenceRow{claim.row.token + 1, self, true, rows->now_ms};
-  TableWrite write{kFenceTable, group.id().value(), claim.version, Encode(claim.row)};
+  claim.row = FenceRow{claim.row.token + 1, self, claim.row.open, rows->now_ms};
+  claim.valid_until = BootClock::now() + kOrderWithin;
+  TableWrite write{kFenceTable, group.id().value(), version, Encode(claim.row)};
   const auto written = co_await m_table.write(std::move(write), Clock::now() + kStoreTimeout);
   if (!written || !written->applied) {
     Log(EventCode::kPromotionFailed, group,
@@ -73,42 +82,75 @@
   co_return claim;
 }
 
-asio::awaitable<void> Takeover::CloseRow(const GroupClient& group, FenceRow row) {
+asio::awaitable<bool> Takeover::MarkRow(const GroupClient& group, Claim& claim, bool open) {
   const auto rows = co_await m_table.read(kFenceTable, Clock::now() + kStoreTimeout);
   if (!rows) {
-    co_return;
+    co_return false;
   }
   for (const auto& current : rows->rows) {
     const auto decoded = Decode<FenceRow>(current.value);
-    if (current.key != group.id().value() || !decoded || decoded->token != row.token) {
+    if (current.key != group.id().value() || !decoded || decoded->token != claim.row.token) {
       continue;
     }
-    row.open = false;
-    row.at_ms = rows->now_ms;
-    TableWrite write{kFenceTable, group.id().value(), current.version, Encode(row)};
-    // A lost answer leaves the row open at worst, which costs the next holder an order.
-    co_await m_table.write(std::move(write), Clock::now() + kStoreTimeout);
+    claim.row.open = open;
+    claim.row.at_ms = rows->now_ms;
+    TableWrite write{kFenceTable, group.id().value(), current.version, Encode(claim.row)};
+    const auto written = co_await m_table.write(std::move(write), Clock::now() + kStoreTimeout);
+    co_return written && written->applied;
+  }
+  co_return false;
+}
+
+asio::awaitable<void> Takeover::Resume(std::shared_ptr<GroupClient> group,
+                                       Claim claim,
+                                       std::optional<EndpointId> leader) {
+  if (claim.was_open) {
+    // An order of an earlier holder may still be carried out: what it compared must not change
+    // until a greater token has made it harmless. An order for the present primary changes nothing.
+    if (!leader) {
+      co_return;
+    }
+    const auto ordered = co_await m_order(group->id().value(), leader->value(), claim.row.holder,
+                                          claim.row.token, Clock::now() + kOrderTimeout);
+    if (!ordered || *ordered != OrderResult::kAccepted) {
+      co_return;
+    }
+  }
+  if (BootClock::now() > claim.valid_until) {
+    // The next holder may have stopped the replicas by now.
+    co_return;
+  }
+  std::vector<GroupClient::EndpointPtr> replicas;
+  for (const auto& [id, endpoint] : group->endpoints()) {
+    if (leader != id) {
+      replicas.push_back(endpoint);
+    }
   }
+  co_await AskAll(group, replicas, EndpointOperation::kResume, Term());
+  co_await MarkRow(*group, claim, false);
 }
 
-asio::awaitable<Takeover::Statuses> Takeover::AskAll(std::shared_ptr<GroupClient> group,
-                                                     std::vector<GroupClient::EndpointPtr> targets,
-                                                     EndpointOperation operation,
-                                                     Term term) {
+asio::awaitable<Takeover::Answers> Takeover::AskAll(std::shared_ptr<GroupClient> group,
+                                                    std::vector<GroupClient::EndpointPtr> targets,
+                                                    EndpointOperation operation,
+                                                    Term term) {
   struct Gathered {
-    Statuses statuses;
+    Answers answers;
     std::size_t left = 0;
     Notifier changed;
   };
   const auto gathered = std::make_shared<Gathered>();
   gathered->left = targets.size();
-  const auto deadline = Clock::now() + kControlTimeout;
+  const auto timeout = operation == EndpointOperation::kStatus ? kStatusTimeout : kControlTimeout;
+  const auto deadline = Clock::now() + timeout;
   for (const auto& endpoint : targets) {
     Spawn(m_context.io,
           [group, endpoint, operation, term, deadline, gathered]() -> asio::awaitable<void> {
             const auto status = co_await group->Control(endpoint, operation, term, deadline);
             if (status) {
-              gathered->statuses[endpoint->entry.id] = *status;
+              gathered->answers.statuses[endpoint->entry.id] = *status;
+            } else {
+              gathered->answers.failures.insert_or_assign(endpoint->entry.id, status.error());
             }
             --gathered->left;
             gathered->changed.NotifyAll();
@@ -116,7 +158,7 @@
   }
   const std::function<bool()> all_answered = [gathered] { return gathered->left == 0; };
   co_await gathered->changed.WaitUntil(all_answered, deadline + Millis(50));
-  co_return gathered->statuses;
+  co_return gathered->answers;
 }
 
 asio::awaitable<bool> Takeover::ConfirmStall(std::shared_ptr<GroupClient> group,
@@ -132,9 +174,10 @@
   }
   co_await Sleep(kStallCheck);
   const auto after = co_await AskAll(group, replicas, EndpointOperation::kStatus, Term());
-  co_return !after.empty() && std::all_of(after.begin(), after.end(), [&](const auto& entry) {
-    return entry.second.received < primary_at;
-  });
+  const auto& statuses = after.statuses;
+  co_return !statuses.empty() &&
+      std::all_of(statuses.begin(), statuses.end(),
+                  [&](const auto& entry) { return entry.second.received < primary_at; });
 }
 
 asio::awaitable<bool> Takeover::Run(std::shared_ptr<GroupClient> group, TakeoverReason reason) {
@@ -151,22 +194,26 @@
   for (const auto& [id, endpoint] : group->endpoints()) {
     all.push_back(endpoint);
   }
-  const auto statuses = co_await AskAll(group, all, EndpointOperation::kStatus, Term());
+  const auto answers = co_await AskAll(group, all, EndpointOperation::kStatus, Term());
+  const auto& statuses = answers.statuses;
   // A healthy primary stays: this proxy alone had lost sight of it.
   for (const auto& [id, status] : statuses) {
     const auto endpoint = group->Find(id);
     if (!status.is_primary || !endpoint) {
       continue;
     }
-    const bool stays =
-        (reason == TakeoverReason::kFailed && !endpoint->entry.leaving) ||
-        (reason == TakeoverReason::kLeaving && !endpoint->entry.leaving) ||
-        (reason == TakeoverReason::kStalled && !co_await ConfirmStall(group, statuses));
-    if (stays && co_await group->ProbeLead(endpoint, Clock::now() + kControlTimeout)) {
+    bool stays = !endpoint->entry.leaving;
+    if (reason == TakeoverReason::kStalled) {
+      const bool stalled = co_await ConfirmStall(group, statuses);
+      stays = !stalled;
+    }
+    if (!stays) {
+      continue;
+    }
+    const auto leads = co_await group->ProbeLead(endpoint, Clock::now() + kControlTimeout);
+    if (leads) {
       Log(EventCode::kPromotionFailed, *group, id.value() + " leads", status.term);
-      if (!claim->was_open) {
-        co_await CloseRow(*group, claim->row);
-      }
+      co_await Resume(group, *claim, id);
       co_return true;
     }
   }
@@ -175,15 +222,9 @@
   co_return done;
 }
 
-asio::awaitable<bool> Takeover::Promote(std::shared_ptr<GroupClient> group,
-                                        TakeoverReason reason,
-                                        const Statuses& statuses,
-                                        const Claim& claim) {
-  auto term = group->term();
-  for (const auto& [id, status] : statuses) {
-    term = std::max({term, status.term, status.paused_at});
-  }
-  const Term stop_at(term.value() + 1);
+asio::awaitable<std::vector<StoppedServer>> Takeover::StopAll(std::shared_ptr<GroupClient> group,
+                                                              const Statuses& statuses,
+                                                              Term stop_at) {
   std::vector<GroupClient::EndpointPtr> primaries;
   std::vector<GroupClient::EndpointPtr> replicas;
   for (const auto& [id, endpoint] : group->endpoints()) {
@@ -192,50 +233,100 @@
         status != statuses.end() ? status->second.is_primary : group->primary_id() == id;
     (leads ? primaries : replicas).push_back(endpoint);
   }
-  auto stopped = co_await AskAll(group, primaries, EndpointOperation::kStepDown, stop_at);
-  const auto paused = co_await AskAll(group, replicas, EndpointOperation::kPause, stop_at);
-  stopped.insert(paused.begin(), paused.end());
+  const auto departed = group->Departed();
+  auto asked = replicas;
+  for (const auto& server : departed) {
+    if (!server.reborn) {
+      asked.push_back(server.endpoint);
+    }
+  }
+  // A primary that did not say its status is not waited for.
+  auto reached = primaries;
+  std::erase_if(reached,
+                [&](const auto& endpoint) { return !statuses.contains(endpoint->entry.id); });
+  const auto stepped = co_await AskAll(group, reached, EndpointOperation::kStepDown, stop_at);
+  const auto paused = co_await AskAll(group, asked, EndpointOperation::kPause, stop_at);
   std::vector<StoppedServer> servers;
-  std::string seen;
-  for (const auto& [id, endpoint] : group->endpoints()) {
-    StoppedServer server{.endpoint = id, .leaving = endpoint->entry.leaving};
-    server.was_primary = std::find(primaries.begin(), primaries.end(), endpoint) != primaries.end();
-    if (const auto answer = stopped.find(id); answer != stopped.end()) {
+  const auto add = [&](const Endpoint& endpoint, const Answers& answers) -> StoppedServer& {
+    StoppedServer server;
+    server.endpoint = endpoint.entry.id;
+    server.leaving = endpoint.entry.leaving;
+    const auto answer = answers.statuses.find(server.endpoint);
+    if (answer != answers.statuses.end()) {
       server.stopped = true;
       server.received = answer->second.received;
     }
-    seen += fmt::format(" {}{}={}.{}{}", id.value(), server.was_primary ? "(primary)" : "",
-                        server.received.term.value(), server.received.index.value(),
-                        server.stopped ? "" : "(silent)");
-    servers.push_back(server);
+    return servers.emplace_back(server);
+  };
+  for (const auto& endpoint : primaries) {
+    add(*endpoint, stepped).was_primary = true;
+  }
+  for (const auto& endpoint : replicas) {
+    add(*endpoint, paused);
+  }
+  const Answers none;
+  for (const auto& server : departed) {
+    auto& stopped = add(*server.endpoint, server.reborn ? none : paused);
+    stopped.leaving = true;
+    const auto failure = paused.failures.find(stopped.endpoint);
+    const bool process_gone =
+        server.reborn || (failure != paused.failures.end() &&
+                          (failure->second.code == ResultCode::kBadAnswer ||
+                           failure->second.code == ResultCode::kConnectionRefused));
+    const auto gone_for = Clock::now() - server.since;
+    stopped.gone_long_ago = gone_for > (process_gone ? kGoneLongAgo : kSilentLongAgo);
+  }
+  co_return servers;
+}
+
+asio::awaitable<bool> Takeover::Promote(std::shared_ptr<GroupClient> group,
+                                        TakeoverReason reason,
+                                        Statuses statuses,
+                                        Claim claim) {
+  auto term = group->term();
+  for (const auto& [id, status] : statuses) {
+    term = std::max({term, status.term, status.paused_at});
+  }
+  const Term stop_at(term.value() + 1);
+  const auto servers = co_await StopAll(group, statuses, stop_at);
+  std::string seen;
+  for (const auto& server : servers) {
+    seen +=
+        fmt::format(" {}{}={}.{}{}", server.endpoint.value(), server.was_primary ? "(primary)" : "",
+                    server.received.term.value(), server.received.index.value(),
+                    server.stopped         ? ""
+                    : server.gone_long_ago ? "(gone)"
+                                           : "(silent)");
   }
   const auto successor = ChooseSuccessor(servers);
   if (!successor) {
     Log(EventCode::kPromotionFailed, *group, "no safe successor:" + seen, stop_at);
-    if (!claim.was_open) {
-      co_await AskAll(group, replicas, EndpointOperation::kResume, Term());
-      co_await CloseRow(*group, claim.row);
-    }
+    co_await Resume(group, claim, std::nullopt);
+    co_return false;
+  }
+  // From here on others keep away for as long as the order may take.
+  const bool marked = co_await MarkRow(*group, claim, true);
+  if (!marked || BootClock::now() > claim.valid_until) {
+    Log(EventCode::kPromotionFailed, *group, "the token came too late:" + seen, stop_at);
     co_return false;
   }
   const auto ordered = co_await m_order(group->id().value(), successor->value(), claim.row.holder,
                                         claim.row.token, Clock::now() + kOrderTimeout);
+  const auto outcome = !ordered                             ? ordered.error().detail
+                       : *ordered == OrderResult::kAccepted ? std::string("accepted")
+                                                            : std::string("rejected");
   Log(EventCode::kPromotionOrdered, *group,
       fmt::format("{} for {}, token {}, {}; logs:{}", successor->value(), NameOf(reason),
-                  claim.row.token,
-                  !ordered                             ? ordered.error().detail
-                  : *ordered == OrderResult::kAccepted ? "accepted"
-                                                       : "rejected",
-                  seen),
+                  claim.row.token, outcome, seen),
       stop_at);
   if (!ordered || *ordered != OrderResult::kAccepted) {
     co_return false;
   }
+  // The promotion itself lets the other replicas receive again.
   const bool leads = co_await WaitForLead(group, *successor);
   if (leads) {
-    co_await AskAll(group, replicas, EndpointOperation::kResume, Term());
-    co_await CloseRow(*group, claim.row);
     Log(EventCode::kPrimaryPromoted, *group, successor->value(), group->term());
+    co_await MarkRow(*group, claim, false);
   }
   co_return leads;
 }
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -35,27 +35,43 @@
  private:
   using Statuses = std::map<EndpointId, EndpointStatus>;
 
+  // The answers to one question to several servers.
+  struct Answers {
+    Statuses statuses;
+    std::map<EndpointId, Error> failures;
+  };
+
   struct Claim {
     FenceRow row;
-    std::uint64_t version = 0;
     // The holder before may have left an order under way.
     bool was_open = false;
+    // An order, or a resume, is sent before this time or not at all.
+    BootTime valid_until;
   };
 
   asio::awaitable<std::optional<Claim>> TakeToken(const GroupClient& group);
-  // Marks the row as having no order under way.
-  asio::awaitable<void> CloseRow(const GroupClient& group, FenceRow row);
+  // Writes whether an order of this proxy may be under way. Returns false if another proxy holds
+  // the row by now or the store does not say.
+  asio::awaitable<bool> MarkRow(const GroupClient& group, Claim& claim, bool open);
+  // Lets stopped replicas receive again where that is safe.
+  asio::awaitable<void> Resume(std::shared_ptr<GroupClient> group,
+                               Claim claim,
+                               std::optional<EndpointId> leader);
   // Sends `operation` to all of `targets` at once and gathers the answers.
-  asio::awaitable<Statuses> AskAll(std::shared_ptr<GroupClient> group,
-                                   std::vector<GroupClient::EndpointPtr> targets,
-                                   EndpointOperation operation,
-                                   Term term);
+  asio::awaitable<Answers> AskAll(std::shared_ptr<GroupClient> group,
+                                  std::vector<GroupClient::EndpointPtr> targets,
+                                  EndpointOperation operation,
+                                  Term term);
   // Whether the replicas really receive nothing of a primary that answers.
   asio::awaitable<bool> ConfirmStall(std::shared_ptr<GroupClient> group, const Statuses& before);
   asio::awaitable<bool> Promote(std::shared_ptr<GroupClient> group,
                                 TakeoverReason reason,
-                                const Statuses& statuses,
-                                const Claim& claim);
+                                Statuses statuses,
+                                Claim claim);
+  // Stops the replicas and the old primary, and says what their logs hold.
+  asio::awaitable<std::vector<StoppedServer>> StopAll(std::shared_ptr<GroupClient> group,
+                                                      const Statuses& statuses,
+                                                      Term stop_at);
   asio::awaitable<bool> WaitForLead(std::shared_ptr<GroupClient> group, EndpointId endpoint);
   void Log(EventCode code, const GroupClient& group, const std::string& detail, Term term = {});
 
--- a/src/pool/link_pool.cc
+++ b/src/pool/link_pool.cc
@@ -65,7 +65,7 @@
 asio::awaitable<Outcome<LinkPool::Lease>> LinkPool::Acquire(SessionValues values,
                                                             LinkUse use,
                                                             TimePoint deadline) {
-  if (m_retired) {
+  if (m_retired && use != LinkUse::kControl) {
     co_return Error{ResultCode::kTransport, "the server left", Ran::kNo};
   }
   if (auto idle = TakeIdle(values)) {
