--- a/tests/unit/docs_test.cc
+++ b/tests/unit/docs_test.cc
@@ -8,6 +8,7 @@
 
 #include "cardamom/event_code.h"
 #include "cardamom/result_code.h"
+#include "settings/gateway_settings.h"
 #include "settings/settings.h"
 
 namespace cardamom {
@@ -28,6 +29,24 @@
   return rows;
 }
 
+template <typename Owner>
+void ExpectSettingsDescribed(const std::string& page,
+                             std::span<const NumberSettingOf<Owner>> numbers,
+                             std::span<const TextSettingOf<Owner>> texts) {
+  for (const auto& setting : numbers) {
+    const auto row = fmt::format("| {} | {} | {} ({} to {} {}) | {} |", setting.name,
+                                 EnvironmentName(setting.name), setting.initial, setting.least,
+                                 setting.most, setting.unit, setting.meaning);
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+  }
+  for (const auto& setting : texts) {
+    const auto row =
+        fmt::format("| {} | {} | {} | {} |", setting.name, EnvironmentName(setting.name),
+                    setting.required ? "required" : setting.initial, setting.meaning);
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+  }
+}
+
 TEST(DocsTest, EveryResultCodeIsDescribed) {
   const auto page = Page("ERRORS.md");
   for (const auto& info : AllResultCodes()) {
@@ -50,19 +69,11 @@
 
 TEST(DocsTest, EverySettingIsDescribed) {
   const auto page = Page("SETTINGS.md");
-  for (const auto& setting : NumberSettings()) {
-    const auto row = fmt::format("| {} | {} | {} ({} to {} {}) | {} |", setting.name,
-                                 EnvironmentName(setting.name), setting.initial, setting.least,
-                                 setting.most, setting.unit, setting.meaning);
-    EXPECT_NE(page.find(row), std::string::npos) << row;
-  }
-  for (const auto& setting : TextSettings()) {
-    const auto row =
-        fmt::format("| {} | {} | {} | {} |", setting.name, EnvironmentName(setting.name),
-                    setting.required ? "required" : setting.initial, setting.meaning);
-    EXPECT_NE(page.find(row), std::string::npos) << row;
-  }
-  EXPECT_EQ(Rows(page), NumberSettings().size() + TextSettings().size() + 1);
+  ExpectSettingsDescribed(page, NumberSettings(), TextSettings());
+  ExpectSettingsDescribed(page, GatewayNumberSettings(), GatewayTextSettings());
+  // Two tables, each with a head.
+  EXPECT_EQ(Rows(page), NumberSettings().size() + TextSettings().size() +
+                            GatewayNumberSettings().size() + GatewayTextSettings().size() + 2);
 }
 
 TEST(DocsTest, CodesAreUniqueAndAscending) {
--- /dev/null
+++ b/tests/unit/gateway_rules_test.cc
@@ -0,0 +1,184 @@
+// Decisions of the gateway in virtual time: ages of data, choice of servers, the list of servers.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include "directory/server_list.h"
+#include "group/watermark_history.h"
+#include "routing/server_choice.h"
+#include "settings/gateway_settings.h"
+
+namespace cardamom {
+namespace {
+
+BootTime At(std::int64_t ms) {
+  return BootTime(std::chrono::milliseconds(ms));
+}
+
+Position Pos(std::uint64_t index) {
+  return {Term(1), LogIndex(index)};
+}
+
+TEST(WatermarkHistoryTest, AYoungSampleCoversWhatIsOlder) {
+  WatermarkHistory history(Millis(10'000));
+  EXPECT_FALSE(history.Covering(At(0)));
+  history.Add(At(100), Pos(5));
+  history.Add(At(200), Pos(9));
+  EXPECT_EQ(history.Covering(At(50)), Pos(5));
+  EXPECT_EQ(history.Covering(At(150)), Pos(9));
+  EXPECT_FALSE(history.Covering(At(201)));
+}
+
+// Differential: against the naive answer over all commits. A read that holds Covering(t) lacks no
+// commit that was acknowledged before t.
+RC_GTEST_PROP(WatermarkHistoryProperty, CoversEveryCommitAcknowledgedBefore, ()) {
+  WatermarkHistory history(Millis(100'000));
+  std::vector<std::int64_t> acknowledged_at;
+  std::int64_t now = 0;
+  const auto steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    now += *rc::gen::inRange<std::int64_t>(1, 30);
+    if (*rc::gen::arbitrary<bool>()) {
+      acknowledged_at.push_back(now);
+    } else {
+      history.Add(At(now), Pos(acknowledged_at.size()));
+    }
+  }
+  const auto not_before = *rc::gen::inRange<std::int64_t>(0, now + 10);
+  const auto covering = history.Covering(At(not_before));
+  RC_PRE(covering.has_value());
+  for (std::size_t i = 0; i < acknowledged_at.size(); ++i) {
+    if (acknowledged_at[i] < not_before) {
+      RC_ASSERT(covering->index.value() >= i + 1);
+    }
+  }
+}
+
+TEST(WatermarkHistoryTest, LagIsTheAgeOfTheOldestSampleThatAServerLacks) {
+  WatermarkHistory history(Millis(10'000));
+  history.Add(At(100), Pos(5));
+  history.Add(At(300), Pos(9));
+  EXPECT_EQ(history.LagOf(Pos(9), At(400)), Millis(0));
+  EXPECT_EQ(history.LagOf(Pos(5), At(400)), Millis(100));
+  EXPECT_EQ(history.LagOf(Pos(4), At(400)), Millis(300));
+}
+
+ServerOption Option(const char* id, bool primary, Millis expected, std::size_t outstanding = 0) {
+  ServerOption option;
+  option.endpoint = EndpointId(id);
+  option.is_primary = primary;
+  option.expected = expected;
+  option.outstanding = outstanding;
+  return option;
+}
+
+// Pattern of load: one slow replica.
+TEST(ServerChoiceTest, ASlowReplicaGoesBehindTheOtherAndThePrimary) {
+  const auto order =
+      OrderServers({Option("p", true, Millis(30)), Option("slow", false, Millis(200)),
+                    Option("r", false, Millis(40))},
+                   ServerChoicePolicy());
+  ASSERT_EQ(order.size(), 3U);
+  EXPECT_EQ(order[0].value(), "r");
+  EXPECT_EQ(order[1].value(), "p");
+}
+
+// Pattern of load: replicas fall far behind.
+TEST(ServerChoiceTest, AReplicaThatIsKnownToBeBehindIsNotTried) {
+  auto behind = Option("r", false, Millis(10));
+  behind.fresh = false;
+  const auto order = OrderServers({Option("p", true, Millis(500)), behind}, ServerChoicePolicy());
+  ASSERT_EQ(order.size(), 1U);
+  EXPECT_EQ(order[0].value(), "p");
+}
+
+// Pattern of load: a burst fills one replica.
+TEST(ServerChoiceTest, WorkInProgressMovesReadsToTheOtherReplica) {
+  const auto order =
+      OrderServers({Option("near", false, Millis(30), 4), Option("far", false, Millis(45))},
+                   ServerChoicePolicy());
+  EXPECT_EQ(order.front().value(), "far");
+}
+
+TEST(LatencyEstimateTest, ASlowSpellFadesSoThatTheServerIsTriedAgain) {
+  LatencyEstimate estimate(Millis(30));
+  TimePoint now = Clock::now();
+  for (int i = 0; i < 20; ++i) {
+    estimate.OnAnswer(Millis(300), now);
+  }
+  EXPECT_GT(estimate.Expect(now), Millis(200));
+  EXPECT_LT(estimate.Expect(now + Millis(10'000)), Millis(35));
+}
+
+EndpointEntry Entry(const char* id) {
+  EndpointEntry entry;
+  entry.id = EndpointId(id);
+  return entry;
+}
+
+TEST(ServerListTest, MissingEntriesStayUntilTheStoreHasBeenBackForLongEnough) {
+  ServerList list(Millis(2200));
+  TimePoint now = Clock::now();
+  list.OnEntries({Entry("a"), Entry("b")}, now);
+  list.OnStoreFailure();
+  now += Millis(5000);
+  list.OnEntries({Entry("a")}, now);
+  EXPECT_EQ(list.Entries().size(), 2U);
+  EXPECT_TRUE(list.KeepsMissing());
+  now += Millis(2300);
+  list.OnEntries({Entry("a")}, now);
+  EXPECT_EQ(list.Entries().size(), 1U);
+}
+
+TEST(ServerListTest, WithoutAnOutageAMissingEntryIsGoneAtOnce) {
+  ServerList list(Millis(2200));
+  const TimePoint now = Clock::now();
+  list.OnEntries({Entry("a"), Entry("b")}, now);
+  list.OnEntries({Entry("a")}, now + Millis(10));
+  EXPECT_EQ(list.Entries().size(), 1U);
+}
+
+Checked<GatewaySettings> ReadSettingsOf(std::vector<std::string> arguments) {
+  return GatewaySettings::Read(arguments, [](const std::string&) { return std::nullopt; });
+}
+
+std::vector<std::string> LeastSettings() {
+  return {"--vm-id=a", "--domain=d", "--store=10.0.0.1:1", "--orders=10.0.0.2:1"};
+}
+
+TEST(GatewaySettingsTest, DurationsMayBeWrittenInSeconds) {
+  auto arguments = LeastSettings();
+  arguments.emplace_back("--stop-limit-ms=6.5s");
+  arguments.emplace_back("--drain-ms=7000.0");
+  const auto settings = ReadSettingsOf(arguments);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->stop_limit_ms, 6500);
+  EXPECT_EQ(settings->drain_ms, 7000);
+}
+
+TEST(GatewaySettingsTest, EveryErrorIsReportedAtOnce) {
+  std::string detail;
+  boost::leaf::try_handle_all(
+      [&]() -> Checked<void> {
+        BOOST_LEAF_CHECK(ReadSettingsOf({"--event-ring=1.5", "--drain-ms=x", "--store=nowhere"}));
+        return {};
+      },
+      [&](const Error& error) { detail = error.detail; }, [] {});
+  for (const auto* part : {"vm-id", "domain", "orders", "event-ring", "drain-ms", "nowhere"}) {
+    EXPECT_NE(detail.find(part), std::string::npos) << detail;
+  }
+}
+
+TEST(GatewaySettingsTest, AReloadTakesNumbersAndNamesWhatNeedsARestart) {
+  auto settings = *ReadSettingsOf(LeastSettings());
+  auto changed = settings;
+  changed.drain_ms = 9000;
+  changed.store = "10.0.0.9:1";
+  EXPECT_EQ(settings.AdoptChangeable(changed), "changed: drain-ms; needs a restart: store");
+  EXPECT_EQ(settings.drain_ms, 9000);
+  EXPECT_EQ(settings.store, "10.0.0.1:1");
+}
+
+}  // namespace
+}  // namespace cardamom
