The last server that can answer gets the whole time; a slow statement no longer marks the primary as failing

Change: full time at the last candidate; a statement without answer leads to a question whether it still leads. Tests: two patterns of load in statement_runner_test.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -455,6 +455,15 @@
   StartSearch();
 }
 
+void GroupClient::OnStatementFailure(const EndpointPtr& endpoint, const Error& error) {
+  if (error.code != ResultCode::kNoAnswer || m_primary != endpoint->entry.id) {
+    OnLinkFailure(endpoint, error);
+    return;
+  }
+  const auto self = shared_from_this();
+  Spawn(m_context.io, [self]() -> asio::awaitable<void> { co_await self->ProbePrimary(); });
+}
+
 void GroupClient::ForgetFailures() {
   if (m_health.failing_since) {
     m_health.failing_since = Clock::now();
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -75,6 +75,9 @@
   void OnLostLead(const EndpointPtr& endpoint);
   // A link failed or could not be opened. A server that is only too busy is left as it is.
   void OnLinkFailure(const EndpointPtr& endpoint, const Error& error);
+  // As above, for a statement: without an answer in time the primary may only be busy, so it is
+  // asked whether it still leads before anything is believed.
+  void OnStatementFailure(const EndpointPtr& endpoint, const Error& error);
   // Drops the evidence of overdue commits: the matter was looked into.
   void ForgetStall() { m_health.stalled_since.reset(); }
   // Starts the evidence against the primary anew: this VM stood still meanwhile.
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -103,7 +103,7 @@
   if (answer.failure) {
     lease->Discard();
     endpoint->latency.OnFailure(now - sent_at, now);
-    group.OnLinkFailure(endpoint, *answer.failure);
+    group.OnStatementFailure(endpoint, *answer.failure);
     attempt.reason = answer.failure->detail;
     co_return attempt;
   }
@@ -161,8 +161,10 @@
   const auto needed = co_await NeededPosition(*group, task);
   for (int i = 0; i < kMaxAttempts && Clock::now() < task.deadline; ++i) {
     GroupClient::EndpointPtr endpoint;
+    std::size_t choices = 1;
     if (needed) {
       const auto servers = group->ServersForRead(needed, tried);
+      choices = servers.size();
       // A server that has a free link goes before one that would have to be waited for.
       const auto free = std::find_if(servers.begin(), servers.end(),
                                      [](const auto& server) { return server->pool->HasRoom(); });
@@ -175,12 +177,14 @@
     }
     const bool at_primary = group->primary_id() == endpoint->entry.id;
     const auto after = at_primary ? std::nullopt : needed;
+    // The last server that can answer has all the time there is: an answer given up on is work
+    // lost.
+    const bool is_last = at_primary && (!needed || choices == 1);
     const auto deadline =
-        at_primary && !needed
-            ? task.deadline
-            : std::min(task.deadline,
-                       Clock::now() + std::chrono::duration_cast<Duration>(
-                                          (task.deadline - task.received) * kReadAttemptPart));
+        is_last ? task.deadline
+                : std::min(task.deadline,
+                           Clock::now() + std::chrono::duration_cast<Duration>(
+                                              (task.deadline - task.received) * kReadAttemptPart));
     auto attempt = co_await ReadAt(*group, endpoint, after, task, deadline);
     if (attempt.end == Attempt::End::kAnswered) {
       m_context.metrics.CountRead(at_primary ? "primary" : "replica");
@@ -229,7 +233,7 @@
   if (answer.failure) {
     lease->Discard();
     endpoint->latency.OnFailure(now - sent_at, now);
-    group.OnLinkFailure(endpoint, *answer.failure);
+    group.OnStatementFailure(endpoint, *answer.failure);
     if (now - sent_at > kCommitOverdue) {
       group.OnCommitOverdue(sent_at);
     }
@@ -295,7 +299,7 @@
   if (answer.failure) {
     pin.lease.Discard();
     pin.endpoint->latency.OnFailure(now - sent_at, now);
-    pin.group->OnLinkFailure(pin.endpoint, *answer.failure);
+    pin.group->OnStatementFailure(pin.endpoint, *answer.failure);
     attempt.end = answer.failure->ran == Ran::kNo ? Attempt::End::kNotRun : Attempt::End::kUnknown;
     attempt.reason = answer.failure->detail;
     co_return attempt;
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -15,7 +15,9 @@
                                   TimePoint deadline) override {
     BatchReply batch;
     for (const auto& request : requests) {
-      if (m_server.silent) {
+      const bool is_statement = !request.id.value().empty();
+      const bool too_late = is_statement && Clock::now() + m_server.work > deadline;
+      if (m_server.silent || too_late) {
         while (Clock::now() < deadline) {
           co_await Sleep(Millis(5));
         }
@@ -23,6 +25,9 @@
         batch.failure = Error{ResultCode::kNoAnswer, "silent", Ran::kUnknown};
         co_return batch;
       }
+      if (is_statement) {
+        co_await Sleep(m_server.work);
+      }
       batch.replies.push_back(Answer(request));
     }
     co_return batch;
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -32,6 +32,8 @@
   bool silent = false;
   bool deaf = false;
   bool busy = false;
+  // Time that a statement takes.
+  Millis work{0};
   // Its slots are taken: it answers no status and takes no order, but begins transactions.
   bool no_status = false;
   Term term{1};
--- a/tests/unit/statement_runner_test.cc
+++ b/tests/unit/statement_runner_test.cc
@@ -126,6 +126,25 @@
   EXPECT_LT(Clock::now() - started, Millis(200));
 }
 
+// Pattern of load: both replicas far behind, so that all reads queue at the primary.
+TEST_F(StatementRunnerTest, TheLastServerThatCanAnswerGetsTheWholeTime) {
+  ASSERT_TRUE(RunWrite("w1").ok());
+  m_caller.committed = Position{Term(1), LogIndex(1000)};
+  m_caller.committed_in = m_gateway.group->id();
+  // Both replicas refuse as behind, and are not tried again.
+  ASSERT_TRUE(RunRead("r1", Consistency::kReadYourWrites).ok());
+  m_servers.server(0).work = Millis(300);
+  EXPECT_TRUE(RunRead("r2", Consistency::kReadYourWrites).ok());
+}
+
+TEST_F(StatementRunnerTest, APrimaryThatIsOnlySlowIsNotTakenForFailing) {
+  ASSERT_TRUE(RunWrite("w1").ok());
+  m_servers.server(0).work = Millis(2000);
+  EXPECT_FALSE(RunRead("r1", Consistency::kPrimary).ok());
+  EXPECT_FALSE(m_gateway.group->health().failing_since);
+  EXPECT_NE(m_gateway.group->primary(), nullptr);
+}
+
 TEST_F(StatementRunnerTest, AStatementOfATransactionNeverRunsOutsideOfIt) {
   // Both replicas lack what the session has written, so that their begin is refused.
   ASSERT_TRUE(RunWrite("w1").ok());
