--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -24,7 +24,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  // The name that the standard asks of a clock.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 
   static time_point now() noexcept {
     timespec value{};
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -19,7 +19,6 @@
 constexpr Millis kProbeTimeout{220};
 constexpr Millis kSearchPause{80};
 constexpr Millis kWarmTimeout{2000};
-constexpr Millis kWarmSpread{1000};
 constexpr Millis kDepartedMemory{30'000};
 // Servers enter the list with their first sign of life; until then it may lack some.
 constexpr Millis kListSettles{3000};
@@ -193,8 +192,8 @@
     }
     // A replica holds the position if it lags by less than the position's age.
     const auto lag = boot_now - endpoint->lag_seen < kLagBelief ? endpoint->lag : Duration::zero();
-    option.fresh =
-        position && (lag == Duration::zero() || !covered || boot_now - *covered > lag + kLagMargin);
+    option.fresh = position &&
+                   (lag == Duration::zero() || (covered && boot_now - *covered > lag + kLagMargin));
     option.expected = endpoint->latency.Expect(now);
     option.outstanding = endpoint->outstanding + endpoint->pool->waiting();
     options.push_back(option);
@@ -409,7 +408,8 @@
 void GroupClient::OnReplicaBehind(const EndpointPtr& endpoint, Position needed) {
   const auto now = BootClock::now();
   const auto covered = m_watermarks.FirstCovered(needed);
-  const auto least = covered ? std::chrono::duration_cast<Duration>(now - *covered) : Duration();
+  // A position that no sample covers yet is younger than any.
+  const auto least = covered ? std::chrono::duration_cast<Duration>(now - *covered) : kLagMargin;
   endpoint->lag = std::max(endpoint->lag, least);
   endpoint->lag_seen = now;
 }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -129,7 +129,7 @@
 Checked<Settings> Settings::Read(const std::vector<std::string>& arguments,
                                  const Environment& environment) {
   Problems problems;
-  const auto settings = ReadSettings<Settings>(kNumbers, kTexts, arguments, environment, problems);
+  auto settings = ReadSettings<Settings>(kNumbers, kTexts, arguments, environment, problems);
   CheckTexts(settings, problems);
   if (!problems.empty()) {
     return boost::leaf::new_error(
