--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -23,6 +23,7 @@
   kRecordNotUnderstood = 202,
   kPlatformUnreachable = 203,
   kPlatformReachable = 204,
+  kMembersChanged = 205,
   // 3xx: failover.
   kPrimarySuspected = 300,
   kTermAllocated = 301,
@@ -45,12 +46,15 @@
   kStatementAnswered = 405,
   kStatementRefused = 406,
   kDatabaseUnknown = 407,
+  kStatementForwarded = 408,
   // 5xx: connections.
   kEndpointUnreachable = 500,
   kEndpointReachable = 501,
   kEndpointDropped = 502,
   kEndpointListed = 503,
   kEndpointLeaving = 504,
+  kPeerUnreachable = 505,
+  kPeerReachable = 506,
 };
 
 struct EventCodeInfo {
--- a/src/directory/server_list.h
+++ b/src/directory/server_list.h
@@ -10,10 +10,12 @@
 namespace cardamom {
 
 // Entries lapse while the store is away and come back shortly after its return; until then a
-// missing entry says nothing. Pure. Not thread safe.
+// missing entry says nothing. Who follows the list need not notice that the store was away, so an
+// entry that is missing without having announced to leave is always kept for that time. Pure. Not
+// thread safe.
 class ServerList {
  public:
-  // `return_time`: how long after the store's return entries may still be missing.
+  // `return_time`: for how long entries may be missing, and how long after the store's return.
   explicit ServerList(Duration return_time) : m_return_time(return_time) {}
 
   // The store did not answer.
@@ -34,8 +36,12 @@
   TimePoint m_returned_at;
   bool m_has_returned = false;
   std::map<EndpointId, EndpointEntry> m_entries;
+  struct Missing {
+    EndpointEntry entry;
+    TimePoint since;
+  };
   // Entries that the store does not show, kept for now.
-  std::map<EndpointId, EndpointEntry> m_missing;
+  std::map<EndpointId, Missing> m_missing;
 };
 
 }  // namespace cardamom
--- /dev/null
+++ b/src/directory/table_follower.cc
@@ -0,0 +1,196 @@
+#include "directory/table_follower.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kReadTimeout{1000};
+// Longest wait for changes in one call. The socket's own probes find a connection that has gone
+// silent meanwhile.
+constexpr Millis kFollowWait{20'000};
+constexpr Millis kRetryLeast{150};
+constexpr Millis kRetryMost{400};
+// Doublings of the pause while the store stays away.
+constexpr int kMostDoublings = 1;
+constexpr std::size_t kKeepGone = 1000;
+
+}  // namespace
+
+TableFollower::TableFollower(GatewayContext& context, TablePort table, std::string name)
+    : m_context(context), m_table(std::move(table)), m_name(std::move(name)) {}
+
+void TableFollower::Start() {
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Run(); });
+}
+
+Millis TableFollower::RetryPause() {
+  static thread_local std::minstd_rand random{std::random_device{}()};
+  std::uniform_int_distribution<std::int64_t> pause(kRetryLeast.count(), kRetryMost.count());
+  return Millis(pause(random)) * (1 << std::min(m_failures / 4, kMostDoublings));
+}
+
+void TableFollower::SetInStep(bool in_step, const std::string& detail) {
+  m_failures = in_step ? 0 : m_failures + 1;
+  const bool lost = m_in_step && !in_step;
+  m_in_step = in_step;
+  if (m_on_contact) {
+    m_on_contact(in_step, detail);
+  }
+  if (lost) {
+    m_changed.NotifyAll();
+  }
+}
+
+asio::awaitable<bool> TableFollower::Refresh(const TablePort& table, TimePoint deadline) {
+  auto all = co_await table.read(m_name, deadline);
+  if (!all) {
+    SetInStep(false, all.error().detail);
+    co_return false;
+  }
+  SetInStep(true, m_name + " read");
+  AdoptAll(std::move(*all));
+  co_return true;
+}
+
+asio::awaitable<void> TableFollower::Run() {
+  while (!m_stopped) {
+    const bool read = co_await Refresh(m_table, Clock::now() + kReadTimeout);
+    if (read) {
+      co_await FollowChanges();
+    } else {
+      co_await Sleep(RetryPause());
+    }
+  }
+}
+
+asio::awaitable<void> TableFollower::FollowChanges() {
+  while (!m_stopped) {
+    const auto changes = co_await m_table.follow(m_name, m_version, kFollowWait);
+    if (!changes) {
+      SetInStep(false, changes.error().detail);
+      co_await Sleep(RetryPause());
+      co_return;
+    }
+    if (changes->history_gone) {
+      co_return;
+    }
+    SetInStep(true, m_name + " followed");
+    AdoptChanges(*changes);
+  }
+}
+
+void TableFollower::AdoptAll(TableSnapshot snapshot) {
+  if (m_known && snapshot.version < m_version) {
+    // What is known is newer.
+    return;
+  }
+  if (!m_known) {
+    m_history_from = snapshot.version;
+  }
+  std::map<std::string, TableRow> rows;
+  for (auto& row : snapshot.rows) {
+    auto key = row.key;
+    m_gone.erase(key);
+    rows[std::move(key)] = std::move(row);
+  }
+  for (const auto& [key, row] : m_rows) {
+    if (!rows.contains(key)) {
+      m_gone[key] = snapshot.version;
+    }
+  }
+  m_rows = std::move(rows);
+  m_version = snapshot.version;
+  m_known = true;
+  ForgetOldGone();
+  if (m_on_change) {
+    m_on_change();
+  }
+  m_changed.NotifyAll();
+}
+
+void TableFollower::AdoptChanges(const TableSnapshot& changes) {
+  bool changed = false;
+  for (const auto& row : changes.rows) {
+    const auto known = m_rows.find(row.key);
+    if (known != m_rows.end() && known->second.version >= row.version) {
+      continue;
+    }
+    changed = true;
+    if (row.gone) {
+      m_rows.erase(row.key);
+      m_gone[row.key] = std::max(row.version, m_version + 1);
+    } else {
+      m_gone.erase(row.key);
+      m_rows[row.key] = row;
+    }
+  }
+  m_version = std::max(m_version, changes.version);
+  ForgetOldGone();
+  if (changed) {
+    if (m_on_change) {
+      m_on_change();
+    }
+    m_changed.NotifyAll();
+  }
+}
+
+void TableFollower::ForgetOldGone() {
+  while (m_gone.size() > kKeepGone) {
+    const auto oldest =
+        std::min_element(m_gone.begin(), m_gone.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    m_history_from = std::max(m_history_from, oldest->second);
+    m_gone.erase(oldest);
+  }
+}
+
+Outcome<TableSnapshot> TableFollower::Snapshot() const {
+  if (!m_known || !m_in_step) {
+    return Error{ResultCode::kPlatformUnavailable, m_name + " is not in step", Ran::kNo};
+  }
+  TableSnapshot snapshot;
+  snapshot.version = m_version;
+  for (const auto& [key, row] : m_rows) {
+    snapshot.rows.push_back(row);
+  }
+  return snapshot;
+}
+
+asio::awaitable<Outcome<TableSnapshot>> TableFollower::Changes(std::uint64_t after, Millis wait) {
+  const auto gather = [this, after] {
+    TableSnapshot changes;
+    for (const auto& [key, row] : m_rows) {
+      if (row.version > after) {
+        changes.rows.push_back(row);
+      }
+    }
+    for (const auto& [key, version] : m_gone) {
+      if (version > after) {
+        changes.rows.push_back({key, "", version, true});
+      }
+    }
+    return changes;
+  };
+  const std::function<bool()> ready = [this, gather] {
+    return !m_in_step || !gather().rows.empty();
+  };
+  co_await m_changed.WaitUntil(ready, Clock::now() + wait);
+  if (!m_known || !m_in_step) {
+    co_return Error{ResultCode::kPlatformUnavailable, m_name + " is not in step", Ran::kNo};
+  }
+  if (after < m_history_from) {
+    TableSnapshot gone;
+    gone.history_gone = true;
+    co_return gone;
+  }
+  auto changes = gather();
+  changes.version = m_version;
+  co_return changes;
+}
+
+}  // namespace cardamom
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -32,6 +32,8 @@
                   "The platform's table does not answer."},
     EventCodeInfo{EventCode::kPlatformReachable, "platform_reachable", "info",
                   "The platform's table answers again."},
+    EventCodeInfo{EventCode::kMembersChanged, "members_changed", "info",
+                  "The list of proxies changed; homes are chosen anew."},
     EventCodeInfo{EventCode::kPrimarySuspected, "primary_suspected", "warn",
                   "The steward holds the primary for failed."},
     EventCodeInfo{EventCode::kTermAllocated, "term_allocated", "info",
@@ -72,6 +74,8 @@
                   "A statement was refused; nothing of the attempt is kept."},
     EventCodeInfo{EventCode::kDatabaseUnknown, "database_unknown", "info",
                   "A caller asked for a database that no route names."},
+    EventCodeInfo{EventCode::kStatementForwarded, "statement_forwarded", "info",
+                  "A statement went to a home proxy of its group."},
     EventCodeInfo{EventCode::kEndpointUnreachable, "endpoint_unreachable", "warn",
                   "An endpoint does not answer this proxy."},
     EventCodeInfo{EventCode::kEndpointReachable, "endpoint_reachable", "info",
@@ -82,6 +86,10 @@
                   "An endpoint appeared in the list of servers."},
     EventCodeInfo{EventCode::kEndpointLeaving, "endpoint_leaving", "info",
                   "An endpoint announced that it leaves."},
+    EventCodeInfo{EventCode::kPeerUnreachable, "peer_unreachable", "warn",
+                  "Another proxy does not answer; its groups are asked elsewhere."},
+    EventCodeInfo{EventCode::kPeerReachable, "peer_reachable", "info",
+                  "Another proxy answers again."},
 };
 
 }  // namespace
--- /dev/null
+++ b/src/fleet/fleet.cc
@@ -0,0 +1,183 @@
+#include "fleet/fleet.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "async/notifier.h"
+#include "async/spawn.h"
+#include "membership/rendezvous.h"
+
+namespace cardamom {
+namespace {
+
+constexpr Millis kWriteTimeout{1000};
+constexpr Millis kRegisterPause{400};
+constexpr std::size_t kRelaysPerDomain = 2;
+// A list that has not changed for this long holds everyone who started together with this proxy.
+constexpr Millis kSettleTime{500};
+constexpr Millis kSettlePoll{50};
+
+}  // namespace
+
+Fleet::Fleet(GatewayContext& context, TablePort table, TablePort followed)
+    : m_context(context), m_table(std::move(table)), m_follower(context, std::move(followed), kTable) {
+  const auto& settings = context.settings;
+  m_self.id = VmId(settings.vm_id);
+  m_self.peer_address = settings.listen_peers;
+  m_self.operations_address = settings.listen_metrics;
+  m_self.domain = FailureDomain(settings.domain);
+  m_self.region = Region(settings.region);
+  m_self.capacity = settings.capacity();
+  m_vms[settings.vm_id] = m_self;
+  m_follower.set_on_change([this] { AdoptRows(); });
+}
+
+void Fleet::Start() {
+  m_follower.Start();
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Register(); });
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Settle(); });
+}
+
+asio::awaitable<void> Fleet::Settle() {
+  // A proxy whose row of an earlier life is there joins a fleet that runs.
+  const std::function<bool()> settled = [this] {
+    return m_follower.IsKnown() &&
+           (m_was_listed || Clock::now() - m_changed_at >= kSettleTime);
+  };
+  while (!settled()) {
+    co_await Sleep(kSettlePoll);
+  }
+  m_settled = true;
+  m_homes.clear();
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+asio::awaitable<bool> Fleet::WriteSelf(bool leaving, TimePoint deadline) {
+  auto entry = m_self;
+  entry.leaving = leaving;
+  TableWrite write{kTable, m_self.id.value(), std::nullopt, Encode(entry)};
+  const auto written = co_await m_table.write(std::move(write), deadline);
+  co_return written && written->applied;
+}
+
+asio::awaitable<void> Fleet::Register() {
+  while (!m_leaving) {
+    const bool written = co_await WriteSelf(false, Clock::now() + kWriteTimeout);
+    if (written) {
+      co_return;
+    }
+    co_await Sleep(kRegisterPause);
+  }
+}
+
+asio::awaitable<void> Fleet::Leave() {
+  m_leaving = true;
+  co_await WriteSelf(true, Clock::now() + kWriteTimeout);
+}
+
+void Fleet::AdoptRows() {
+  std::map<std::string, VmEntry> vms;
+  if (m_changed_at == TimePoint()) {
+    m_changed_at = Clock::now();
+    m_was_listed = m_follower.rows().contains(m_self.id.value());
+  }
+  for (const auto& [key, row] : m_follower.rows()) {
+    const auto entry = Decode<VmEntry>(row.value);
+    if (entry && !entry->leaving && entry->capacity > 0) {
+      vms[key] = *entry;
+    }
+  }
+  if (!m_leaving) {
+    vms[m_self.id.value()] = m_self;
+  }
+  if (vms == m_vms) {
+    return;
+  }
+  m_vms = std::move(vms);
+  m_changed_at = Clock::now();
+  m_homes.clear();
+  std::set<FailureDomain> domains;
+  for (const auto& [key, vm] : m_vms) {
+    domains.insert(vm.domain);
+  }
+  m_domains = std::max<std::size_t>(1, domains.size());
+  m_context.events.Emit(EventCode::kMembersChanged,
+                        {.detail = fmt::format("{} VMs in {} failure domains, row version {}",
+                                               m_vms.size(), m_domains, m_follower.version())});
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+std::vector<VmEntry> Fleet::vms() const {
+  std::vector<VmEntry> all;
+  for (const auto& [key, vm] : m_vms) {
+    all.push_back(vm);
+  }
+  return all;
+}
+
+const VmEntry* Fleet::Find(const std::string& vm) const {
+  const auto it = m_vms.find(vm);
+  return it == m_vms.end() ? nullptr : &it->second;
+}
+
+HomePlan Fleet::Plan(std::size_t max_connections) const {
+  HomePolicy policy;
+  policy.direct_vms = static_cast<std::size_t>(m_context.settings.direct_vms);
+  return m_settled ? PlanHomes(max_connections, m_vms.size(), m_domains, policy) : HomePlan();
+}
+
+int Fleet::DistanceTo(const VmEntry& vm) const {
+  return vm.id == m_self.id         ? 0
+         : vm.domain == m_self.domain ? 1
+         : vm.region == m_self.region ? 2
+                                      : 3;
+}
+
+const Fleet::Homes& Fleet::FindHomes(const GroupId& group, std::size_t max_connections) const {
+  const auto count = Plan(max_connections).homes;
+  auto& homes = m_homes[group];
+  if (homes.count == count) {
+    return homes;
+  }
+  homes.count = count;
+  homes.vms = HomeSet(vms(), "home/" + group.value(), count);
+  homes.self = std::any_of(homes.vms.begin(), homes.vms.end(),
+                           [this](const VmEntry& vm) { return vm.id == m_self.id; });
+  // Proxies of one distance spread over its homes.
+  homes.vms = RankVms(homes.vms, m_self.id.value());
+  std::stable_sort(homes.vms.begin(), homes.vms.end(), [this](const auto& a, const auto& b) {
+    return DistanceTo(a) < DistanceTo(b);
+  });
+  return homes;
+}
+
+const std::vector<VmEntry>& Fleet::HomesOf(const GroupId& group,
+                                           std::size_t max_connections) const {
+  return FindHomes(group, max_connections).vms;
+}
+
+bool Fleet::IsHome(const GroupId& group, std::size_t max_connections) const {
+  return m_settled && (IsDirect(max_connections) || FindHomes(group, max_connections).self);
+}
+
+bool Fleet::IsDirect(std::size_t max_connections) const {
+  return m_settled && Plan(max_connections).homes >= m_vms.size();
+}
+
+std::vector<VmEntry> Fleet::Relays() const {
+  return cardamom::Relays(vms(), m_self.domain, kRelaysPerDomain);
+}
+
+bool Fleet::IsRelay() const {
+  const auto relays = Relays();
+  return relays.empty() || std::any_of(relays.begin(), relays.end(), [this](const VmEntry& vm) {
+           return vm.id == m_self.id;
+         });
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/fleet/peer_codec.cc
@@ -0,0 +1,109 @@
+#include "fleet/peer_codec.h"
+
+#include <utility>
+
+namespace cardamom {
+namespace {
+
+template <typename Enum>
+bool IsIn(int value, Enum last) {
+  return value >= 0 && value <= static_cast<int>(last);
+}
+
+}  // namespace
+
+PeerStatement ToMessage(PeerOperation operation, const GroupId& group, const StatementTask& task) {
+  PeerStatement message;
+  message.operation = static_cast<int>(operation);
+  message.group = group.value();
+  message.id = task.statement.id.value();
+  message.kind = static_cast<int>(task.statement.kind);
+  message.text = task.statement.text;
+  message.name = task.statement.name;
+  message.value = task.statement.value;
+  message.access = static_cast<int>(task.statement.access);
+  message.values = task.caller.values;
+  if (task.statement.kind == StatementKind::kExecute) {
+    const auto prepared = task.caller.prepared.find(task.statement.name);
+    if (prepared != task.caller.prepared.end()) {
+      message.prepared_access = static_cast<int>(prepared->second.access);
+      message.prepared_shape = prepared->second.shape;
+    }
+  }
+  if (task.caller.committed && task.caller.committed_in == group) {
+    message.committed = task.caller.committed;
+  }
+  message.consistency = static_cast<int>(task.route.consistency);
+  message.max_staleness_ms = task.route.max_staleness.count();
+  message.priority = task.route.priority;
+  return message;
+}
+
+Outcome<ReceivedStatement> FromMessage(const PeerStatement& message,
+                                       TimePoint now,
+                                       BootTime boot_now) {
+  const bool valid = IsIn(message.operation, PeerOperation::kRollback) &&
+                     IsIn(message.kind, StatementKind::kDeallocate) &&
+                     IsIn(message.access, Access::kWrite) &&
+                     IsIn(message.consistency, Consistency::kReadYourWrites) &&
+                     IsIn(message.prepared_access.value_or(0), Access::kWrite);
+  if (!valid) {
+    return Error{ResultCode::kBadField, "a number out of range", Ran::kNo};
+  }
+  ReceivedStatement in;
+  in.operation = static_cast<PeerOperation>(message.operation);
+  in.statement.id = RequestId(message.id);
+  in.statement.kind = static_cast<StatementKind>(message.kind);
+  in.statement.text = message.text;
+  in.statement.name = message.name;
+  in.statement.value = message.value;
+  in.statement.access = static_cast<Access>(message.access);
+  in.caller.values = message.values;
+  if (message.prepared_shape) {
+    in.caller.prepared[message.name] = {static_cast<Access>(message.prepared_access.value_or(0)),
+                                        *message.prepared_shape};
+  }
+  in.caller.committed = message.committed;
+  in.caller.committed_in = GroupId(message.group);
+  in.route.group = GroupId(message.group);
+  in.route.consistency = static_cast<Consistency>(message.consistency);
+  in.route.max_staleness = Millis(message.max_staleness_ms);
+  in.route.priority = message.priority;
+  in.route.statement_timeout = Millis(message.spent_ms + message.left_ms);
+  in.received = now - Millis(message.spent_ms);
+  in.first_byte = boot_now - std::chrono::microseconds(message.age_us);
+  in.deadline = now + Millis(message.left_ms);
+  return in;
+}
+
+PeerReply ToMessage(const Reply& reply) {
+  PeerReply message;
+  message.rows = reply.rows;
+  message.signature = reply.signature;
+  if (reply.error) {
+    message.error = static_cast<int>(reply.error->code);
+    message.error_text = reply.error->text;
+  }
+  message.state = static_cast<int>(reply.state);
+  message.position = reply.position;
+  return message;
+}
+
+Reply FromMessage(PeerReply message) {
+  Reply reply;
+  reply.rows = std::move(message.rows);
+  reply.signature = std::move(message.signature);
+  if (message.error) {
+    const auto code = IsIn(*message.error, StatementError::kUnrecognized)
+                          ? static_cast<StatementError>(*message.error)
+                          : StatementError::kUnrecognized;
+    reply.error = ReplyError{code, std::move(message.error_text)};
+  }
+  reply.state = IsIn(message.state, SessionState::kFailed)
+                    ? static_cast<SessionState>(message.state)
+                    : SessionState::kFailed;
+  reply.position = message.position;
+  return reply;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/fleet/peer_messages.h
@@ -0,0 +1,98 @@
+// Messages between proxies: statements forwarded to a home proxy, and rows of the store's tables.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/json.h"
+
+namespace cardamom {
+
+// Paths on the address for peers.
+inline constexpr const char* kPeerStatementPath = "/v1/peer/statement";
+inline constexpr const char* kPeerPingPath = "/v1/peer/ping";
+inline constexpr const char* kPeerTablePath = "/v1/peer/table";
+
+// What a home is asked to do with a statement. The numbers are part of the protocol.
+enum class PeerOperation : int {
+  kRead = 0,
+  kWrite = 1,
+  kFirst = 2,
+  kNext = 3,
+  kCommit = 4,
+  kRollback = 5,
+};
+
+// POST /v1/peer/statement. Times are spans, never times of day: `age_us` is how long ago the first
+// byte came when the message was sent, `left_ms` what is left of the statement's time.
+struct PeerStatement {
+  int operation = 0;
+  std::string from;
+  std::string group;
+  std::string id;
+  int kind = 0;
+  std::string text;
+  std::string name;
+  std::string value;
+  int access = 0;
+  std::map<std::string, std::string> values;
+  // The prepared statement that is executed.
+  std::optional<int> prepared_access;
+  std::optional<std::string> prepared_shape;
+  // The session's last own commit in this group.
+  std::optional<Position> committed;
+  int consistency = 0;
+  std::int64_t max_staleness_ms = 0;
+  int priority = 0;
+  std::int64_t age_us = 0;
+  std::int64_t spent_ms = 0;
+  std::int64_t left_ms = 0;
+  bool read_only = false;
+  // An open transaction at this home.
+  std::string transaction;
+};
+BOOST_DESCRIBE_STRUCT(PeerStatement,
+                      (),
+                      (operation,
+                       from,
+                       group,
+                       id,
+                       kind,
+                       text,
+                       name,
+                       value,
+                       access,
+                       values,
+                       prepared_access,
+                       prepared_shape,
+                       committed,
+                       consistency,
+                       max_staleness_ms,
+                       priority,
+                       age_us,
+                       spent_ms,
+                       left_ms,
+                       read_only,
+                       transaction))
+
+// The answer to a statement.
+struct PeerReply {
+  // False: the home did not take the statement, and nothing ran.
+  bool taken = true;
+  std::vector<std::string> rows;
+  std::string signature;
+  std::optional<int> error;
+  std::string error_text;
+  int state = 0;
+  std::optional<Position> position;
+  // The transaction that stays open, if one does.
+  std::string transaction;
+};
+BOOST_DESCRIBE_STRUCT(PeerReply,
+                      (),
+                      (taken, rows, signature, error, error_text, state, position, transaction))
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/fleet/peer_service.cc
@@ -0,0 +1,165 @@
+#include "fleet/peer_service.h"
+
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "async/spawn.h"
+#include "core/random_id.h"
+
+namespace cardamom {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+// The proxy that holds the caller ends an idle transaction first.
+constexpr Millis kIdleSlack{700};
+
+PeerReply NotTaken(std::string reason) {
+  PeerReply reply;
+  reply.taken = false;
+  reply.error_text = std::move(reason);
+  return reply;
+}
+
+}  // namespace
+
+PeerService::PeerService(GatewayContext& context, Directory& directory, StatementRunner& runner)
+    : m_context(context), m_directory(directory), m_runner(runner) {}
+
+asio::awaitable<HttpResponse> PeerService::Handle(HttpRequest request) {
+  HttpResponse response;
+  if (request.target == kPeerPingPath) {
+    co_return response;
+  }
+  if (request.target != kPeerStatementPath) {
+    response.status = kNotFound;
+    co_return response;
+  }
+  auto message = Decode<PeerStatement>(request.body);
+  if (!message) {
+    response.status = kBadRequest;
+    response.body = message.error().detail;
+    co_return response;
+  }
+  const auto reply = co_await Run(std::move(*message));
+  response.body = Encode(reply);
+  co_return response;
+}
+
+asio::awaitable<PeerReply> PeerService::Run(PeerStatement message) {
+  const auto in = FromMessage(message, Clock::now(), BootClock::now());
+  if (!in) {
+    co_return NotTaken(in.error().detail);
+  }
+  switch (in->operation) {
+    case PeerOperation::kRead:
+    case PeerOperation::kWrite:
+    case PeerOperation::kFirst:
+      co_return co_await RunOutside(*in, message);
+    case PeerOperation::kNext:
+    case PeerOperation::kCommit:
+    case PeerOperation::kRollback:
+      break;
+  }
+  co_return co_await RunHeld(*in, message);
+}
+
+asio::awaitable<PeerReply> PeerService::RunOutside(const ReceivedStatement& in,
+                                                   const PeerStatement& message) {
+  if (m_refusing) {
+    co_return NotTaken("this home is stopping");
+  }
+  const auto group = m_directory.OpenGroup(in.route.group);
+  if (!group || group->endpoints().empty()) {
+    co_return NotTaken("this home does not know the group");
+  }
+  LocalPath path(m_runner, group);
+  const auto task = in.Task();
+  if (in.operation == PeerOperation::kRead) {
+    const auto reply = co_await path.Read(task);
+    co_return ToMessage(reply);
+  }
+  if (in.operation == PeerOperation::kWrite) {
+    const auto reply = co_await path.Write(task);
+    co_return ToMessage(reply);
+  }
+  auto begun = co_await path.RunFirst(task, message.read_only);
+  auto reply = ToMessage(begun.reply);
+  if (begun.transaction) {
+    reply.transaction = RandomId();
+    m_held[reply.transaction] =
+        std::make_shared<Held>(Held{std::move(begun.transaction), Clock::now()});
+  }
+  co_return reply;
+}
+
+asio::awaitable<PeerReply> PeerService::RunHeld(const ReceivedStatement& in,
+                                                const PeerStatement& message) {
+  const auto place = m_held.find(message.transaction);
+  if (place != m_held.end() && place->second->busy) {
+    // The other proxy has given up on the statement that still runs.
+    place->second->abandoned = true;
+  }
+  if (place == m_held.end() || place->second->busy) {
+    // What this process does not hold was rolled back when its link closed.
+    co_return ToMessage(ErrorReply(StatementError::kAborted, "the transaction is rolled back",
+                                   in.operation == PeerOperation::kNext ? SessionState::kFailed
+                                                                        : SessionState::kIdle));
+  }
+  const auto held = place->second;
+  const auto task = in.Task();
+  if (in.operation == PeerOperation::kNext) {
+    held->busy = true;
+    const auto next = co_await held->transaction->RunNext(task);
+    held->busy = false;
+    held->last_used = Clock::now();
+    auto reply = ToMessage(next);
+    if (held->abandoned && held->transaction->IsOpen()) {
+      co_await held->transaction->Rollback();
+    }
+    if (held->transaction->IsOpen()) {
+      reply.transaction = message.transaction;
+    } else {
+      m_held.erase(message.transaction);
+    }
+    co_return reply;
+  }
+  m_held.erase(place);
+  if (in.operation == PeerOperation::kCommit) {
+    const auto committed = co_await held->transaction->Commit(task);
+    co_return ToMessage(committed);
+  }
+  co_await held->transaction->Rollback();
+  co_return ToMessage(LocalReply(SessionState::kIdle));
+}
+
+void PeerService::ExpireTransactions(bool all) {
+  if (m_held.empty()) {
+    return;
+  }
+  const auto limit = m_directory.configuration().transaction_idle + kIdleSlack;
+  const auto now = Clock::now();
+  std::vector<HeldPtr> expired;
+  std::erase_if(m_held, [&](const auto& entry) {
+    const auto& held = entry.second;
+    const bool ends = !held->busy && (all || now - held->last_used > limit);
+    if (ends) {
+      expired.push_back(held);
+    }
+    return ends;
+  });
+  for (const auto& held : expired) {
+    m_context.events.Emit(
+        EventCode::kTransactionAbandoned,
+        {.group = held->transaction->group(),
+         .endpoint = EndpointId(held->transaction->place()),
+         .detail = fmt::format("held for another proxy, idle for {} ms",
+                               ToMillis(now - held->last_used).count())});
+    Spawn(m_context.io,
+          [held]() -> asio::awaitable<void> { co_await held->transaction->Rollback(); });
+  }
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/fleet/peer_service.h
@@ -0,0 +1,52 @@
+// Answers other proxies: statements for groups of which this proxy is a home, and tables it follows.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fleet/fleet.h"
+#include "fleet/peer_codec.h"
+#include "gateway/directory.h"
+#include "gateway/local_path.h"
+#include "http/http_message.h"
+
+namespace cardamom {
+
+// Not thread safe: all use is on the thread of the context.
+class PeerService {
+ public:
+  PeerService(GatewayContext& context, Directory& directory, StatementRunner& runner);
+
+  asio::awaitable<HttpResponse> Handle(HttpRequest request);
+
+  // New statements are not taken any more; open transactions go on.
+  void RefuseNewWork() { m_refusing = true; }
+  // Rolls back transactions that no proxy has used for longer than the configuration allows, or all
+  // idle ones if `all`.
+  void ExpireTransactions(bool all);
+  // Transactions that are held for other proxies.
+  std::size_t held() const { return m_held.size(); }
+
+ private:
+  struct Held {
+    std::unique_ptr<OpenTransaction> transaction;
+    TimePoint last_used;
+    bool busy = false;
+    // To be rolled back as soon as it is not busy.
+    bool abandoned = false;
+  };
+  using HeldPtr = std::shared_ptr<Held>;
+
+  asio::awaitable<PeerReply> Run(PeerStatement message);
+  asio::awaitable<PeerReply> RunOutside(const ReceivedStatement& in, const PeerStatement& message);
+  asio::awaitable<PeerReply> RunHeld(const ReceivedStatement& in, const PeerStatement& message);
+
+  GatewayContext& m_context;
+  Directory& m_directory;
+  StatementRunner& m_runner;
+  std::map<std::string, HeldPtr> m_held;
+  bool m_refusing = false;
+};
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/fleet/remote_path.cc
@@ -0,0 +1,184 @@
+#include "fleet/remote_path.h"
+
+#include <fmt/format.h>
+
+#include "fleet/peer_codec.h"
+
+namespace cardamom {
+namespace {
+
+using End = ForwardResult::End;
+
+constexpr Millis kRollbackTimeout{300};
+// Pause that a refused caller is told to make.
+constexpr Millis kRetryHint{150};
+
+ForwardTimes TimesOf(const StatementTask& task) {
+  return {task.received, task.first_byte, task.deadline};
+}
+
+std::string_view NameOf(End end) {
+  switch (end) {
+    case End::kAnswered:
+      return "answered";
+    case End::kNotRun:
+      return "not run";
+    case End::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+void Log(GatewayContext& context,
+         const GroupId& group,
+         const StatementTask& task,
+         const ForwardResult& result) {
+  const auto taken = Clock::now() - task.received;
+  context.events.Emit(
+      EventCode::kStatementForwarded,
+      {.group = group,
+       .request = task.statement.id.value(),
+       .detail = fmt::format("to {}: {}{}{} in {} ms", result.home, NameOf(result.end),
+                             result.reason.empty() ? "" : ", ", result.reason,
+                             ToMillis(taken).count())});
+  if (result.end != End::kAnswered) {
+    context.metrics.CountStatement(result.end == End::kNotRun ? "refused" : "unknown", taken);
+  }
+}
+
+Reply Refusal(StatementError code, const ForwardResult& result, SessionState state) {
+  return ErrorReply(code,
+                    fmt::format("{}; retry after {} ms", result.reason, kRetryHint.count()), state);
+}
+
+class RemoteTransaction : public OpenTransaction {
+ public:
+  RemoteTransaction(GatewayContext& context,
+                    HomeClient& homes,
+                    GroupId group,
+                    std::string home,
+                    std::string id,
+                    bool wrote)
+      : m_context(context),
+        m_homes(homes),
+        m_group(std::move(group)),
+        m_home(std::move(home)),
+        m_id(std::move(id)),
+        m_wrote(wrote) {}
+
+  asio::awaitable<Reply> RunNext(StatementTask task) override {
+    m_wrote = m_wrote || AccessOf(task.statement, task.caller) == Access::kWrite;
+    auto result = co_await Call(PeerOperation::kNext, task);
+    if (result.end == End::kAnswered) {
+      if (result.reply.transaction.empty()) {
+        m_id.clear();
+      }
+      co_return FromMessage(std::move(result.reply));
+    }
+    // Without its commit a transaction keeps nothing, whatever became of the statement.
+    co_await Rollback();
+    co_return Refusal(StatementError::kAborted, result, SessionState::kFailed);
+  }
+
+  asio::awaitable<Reply> Commit(StatementTask task) override {
+    auto result = co_await Call(PeerOperation::kCommit, task);
+    m_id.clear();
+    if (result.end == End::kAnswered) {
+      co_return FromMessage(std::move(result.reply));
+    }
+    if (result.end == End::kNotRun || !m_wrote) {
+      co_return Refusal(StatementError::kAborted, result, SessionState::kIdle);
+    }
+    co_return ErrorReply(StatementError::kInDoubt, result.reason, SessionState::kIdle);
+  }
+
+  asio::awaitable<void> Rollback() override {
+    PeerStatement message;
+    message.operation = static_cast<int>(PeerOperation::kRollback);
+    message.group = m_group.value();
+    message.transaction = std::exchange(m_id, {});
+    const auto now = Clock::now();
+    const ForwardTimes times{now, BootClock::now(), now + kRollbackTimeout};
+    co_await m_homes.CallHome(m_home, std::move(message), times, true);
+  }
+
+  bool IsOpen() const override { return !m_id.empty(); }
+  bool wrote() const override { return m_wrote; }
+  const GroupId& group() const override { return m_group; }
+  std::string place() const override { return m_home; }
+
+ private:
+  asio::awaitable<ForwardResult> Call(PeerOperation operation, const StatementTask& task) {
+    auto message = ToMessage(operation, m_group, task);
+    message.transaction = m_id;
+    const auto times = TimesOf(task);
+    auto result = co_await m_homes.CallHome(m_home, std::move(message), times, false);
+    Log(m_context, m_group, task, result);
+    co_return result;
+  }
+
+  GatewayContext& m_context;
+  HomeClient& m_homes;
+  const GroupId m_group;
+  const std::string m_home;
+  std::string m_id;
+  bool m_wrote;
+};
+
+}  // namespace
+
+asio::awaitable<Reply> RemotePath::Read(StatementTask task) {
+  const auto times = TimesOf(task);
+  auto message = ToMessage(PeerOperation::kRead, m_group, task);
+  auto result =
+      co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, true);
+  Log(m_context, m_group, task, result);
+  if (result.end == End::kAnswered) {
+    co_return FromMessage(std::move(result.reply));
+  }
+  co_return Refusal(StatementError::kBusy, result, SessionState::kIdle);
+}
+
+asio::awaitable<Reply> RemotePath::Write(StatementTask task) {
+  const auto times = TimesOf(task);
+  auto message = ToMessage(PeerOperation::kWrite, m_group, task);
+  auto result =
+      co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, false);
+  Log(m_context, m_group, task, result);
+  switch (result.end) {
+    case End::kAnswered:
+      co_return FromMessage(std::move(result.reply));
+    case End::kNotRun:
+      co_return Refusal(StatementError::kBusy, result, SessionState::kIdle);
+    case End::kUnknown:
+      break;
+  }
+  co_return ErrorReply(StatementError::kInDoubt, result.reason, SessionState::kIdle);
+}
+
+asio::awaitable<StatementPath::Begun> RemotePath::RunFirst(StatementTask task, bool read_only) {
+  auto message = ToMessage(PeerOperation::kFirst, m_group, task);
+  message.read_only = read_only;
+  const auto times = TimesOf(task);
+  auto result =
+      co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, false);
+  Log(m_context, m_group, task, result);
+  Begun begun;
+  if (result.end == End::kAnswered) {
+    const auto transaction = result.reply.transaction;
+    begun.reply = FromMessage(std::move(result.reply));
+    if (!transaction.empty()) {
+      const bool wrote = AccessOf(task.statement, task.caller) == Access::kWrite;
+      begun.transaction = std::make_unique<RemoteTransaction>(m_context, m_homes, m_group,
+                                                              result.home, transaction, wrote);
+    }
+    co_return begun;
+  }
+  // Whatever ran is never committed.
+  const bool commits = task.statement.kind == StatementKind::kCommit;
+  begun.reply = Refusal(StatementError::kBusy, result,
+                        commits ? SessionState::kIdle : SessionState::kFailed);
+  co_return begun;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/fleet/remote_path.h
@@ -0,0 +1,30 @@
+// Statements to the servers of a group through one of its home proxies.
+#pragma once
+
+#include "fleet/home_client.h"
+#include "gateway/statement_path.h"
+
+namespace cardamom {
+
+// Not thread safe: all use is on the thread of the context. References outlive the path and the
+// transactions that it opens.
+class RemotePath : public StatementPath {
+ public:
+  RemotePath(GatewayContext& context, HomeClient& homes, GroupId group, std::size_t max_connections)
+      : m_context(context),
+        m_homes(homes),
+        m_group(std::move(group)),
+        m_max_connections(max_connections) {}
+
+  asio::awaitable<Reply> Read(StatementTask task) override;
+  asio::awaitable<Reply> Write(StatementTask task) override;
+  asio::awaitable<Begun> RunFirst(StatementTask task, bool read_only) override;
+
+ private:
+  GatewayContext& m_context;
+  HomeClient& m_homes;
+  const GroupId m_group;
+  const std::size_t m_max_connections;
+};
+
+}  // namespace cardamom
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -6,11 +6,11 @@
 
 CallerSession::CallerSession(GatewayContext& context,
                              const Directory& directory,
-                             StatementRunner& runner,
+                             const PathFinder& find_path,
                              DatabaseName database)
     : m_context(context),
       m_directory(directory),
-      m_runner(runner),
+      m_find_path(find_path),
       m_database(std::move(database)) {}
 
 StatementTask CallerSession::TaskFor(const Statement& statement, const Route& route) const {
@@ -36,6 +36,7 @@
   }
   if (m_state == SessionState::kFailed) {
     if (statement.kind == StatementKind::kCommit) {
+      co_await End();
       co_return ErrorReply(StatementError::kAborted, "the transaction failed and is rolled back",
                            SessionState::kIdle);
     }
@@ -109,42 +110,46 @@
   if (m_refusing) {
     co_return ErrorReply(StatementError::kAborted, "this proxy is stopping", SessionState::kIdle);
   }
-  const auto group = m_directory.FindGroup(route->group);
-  if (!group) {
+  const auto path = m_find_path(*route);
+  if (!path) {
     co_return ErrorReply(StatementError::kBusy, "the group is not known yet", SessionState::kIdle);
   }
   const auto task = TaskFor(statement, *route);
   if (AccessOf(statement, m_caller) == Access::kRead) {
-    co_return co_await m_runner.Read(group, task);
+    co_return co_await path->Read(task);
   }
-  auto reply = co_await m_runner.Write(group, task);
-  NoteCommit(group->id(), reply);
+  const auto group = route->group;
+  auto reply = co_await path->Write(task);
+  NoteCommit(group, reply);
   co_return reply;
 }
 
 asio::awaitable<Reply> CallerSession::RunInside(const Statement& statement) {
   const auto task = TaskFor(statement, m_route);
-  if (m_pin.IsOpen()) {
-    co_return co_await m_runner.RunNext(task, m_pin);
+  if (IsPinned()) {
+    co_return co_await m_transaction->RunNext(task);
   }
-  const auto group = m_directory.FindGroup(m_route.group);
-  if (!group) {
+  const auto path = m_find_path(m_route);
+  if (!path) {
     co_return ErrorReply(StatementError::kBusy, "the group is not known yet",
                          SessionState::kFailed);
   }
-  co_return co_await m_runner.RunFirst(group, task, m_read_only, m_pin);
+  auto begun = co_await path->RunFirst(task, m_read_only);
+  m_transaction = std::move(begun.transaction);
+  co_return begun.reply;
 }
 
 asio::awaitable<Reply> CallerSession::Commit(const Statement& statement) {
   if (m_state != SessionState::kInTransaction) {
     co_return ErrorReply(StatementError::kMalformed, "no transaction is open", SessionState::kIdle);
   }
-  if (!m_pin.IsOpen()) {
+  if (!IsPinned()) {
     co_return co_await RunInside(statement);
   }
-  const auto group = m_pin.group->id();
-  const bool wrote = m_pin.wrote;
-  auto reply = co_await m_runner.Commit(TaskFor(statement, m_route), m_pin);
+  const auto group = m_transaction->group();
+  const bool wrote = m_transaction->wrote();
+  auto reply = co_await m_transaction->Commit(TaskFor(statement, m_route));
+  m_transaction.reset();
   if (wrote) {
     NoteCommit(group, reply);
   }
@@ -152,9 +157,7 @@
 }
 
 asio::awaitable<Reply> CallerSession::Rollback() {
-  if (m_pin.IsOpen()) {
-    co_await m_runner.Rollback(m_pin);
-  }
+  co_await End();
   co_return LocalReply(SessionState::kIdle);
 }
 
@@ -167,13 +170,15 @@
 }
 
 asio::awaitable<void> CallerSession::End() {
-  if (m_pin.IsOpen()) {
-    co_await m_runner.Rollback(m_pin);
+  // Taken out first: what comes meanwhile finds no transaction.
+  const auto transaction = std::move(m_transaction);
+  if (transaction && transaction->IsOpen()) {
+    co_await transaction->Rollback();
   }
 }
 
 asio::awaitable<void> CallerSession::ExpireTransaction(bool all) {
-  if (m_busy || !m_pin.IsOpen()) {
+  if (m_busy || !IsPinned()) {
     co_return;
   }
   const auto idle = Clock::now() - m_last_used;
@@ -181,11 +186,11 @@
     co_return;
   }
   m_context.events.Emit(EventCode::kTransactionAbandoned,
-                        {.group = m_pin.group->id(),
-                         .endpoint = m_pin.endpoint->entry.id,
+                        {.group = m_transaction->group(),
+                         .endpoint = EndpointId(m_transaction->place()),
                          .detail = fmt::format("idle for {} ms", ToMillis(idle).count())});
   m_state = SessionState::kFailed;
-  co_await m_runner.Rollback(m_pin);
+  co_await End();
 }
 
 }  // namespace cardamom
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "gateway/directory.h"
-#include "gateway/statement_runner.h"
+#include "gateway/statement_path.h"
 
 namespace cardamom {
 
@@ -13,7 +13,7 @@
  public:
   CallerSession(GatewayContext& context,
                 const Directory& directory,
-                StatementRunner& runner,
+                const PathFinder& find_path,
                 DatabaseName database);
 
   // Answers one statement.
@@ -43,17 +43,19 @@
   std::optional<Reply> AnswerLocally(const Statement& statement);
   StatementTask TaskFor(const Statement& statement, const Route& route) const;
   void NoteCommit(const GroupId& group, const Reply& reply);
+  // The transaction holds a link.
+  bool IsPinned() const { return m_transaction && m_transaction->IsOpen(); }
 
   GatewayContext& m_context;
   const Directory& m_directory;
-  StatementRunner& m_runner;
+  const PathFinder& m_find_path;
   const DatabaseName m_database;
   CallerState m_caller;
   SessionState m_state = SessionState::kIdle;
   bool m_read_only = false;
   // The route at the start of the transaction stays in force until its end.
   Route m_route;
-  TransactionPin m_pin;
+  std::unique_ptr<OpenTransaction> m_transaction;
   bool m_busy = false;
   bool m_refusing = false;
   TimePoint m_received;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -1,7 +1,6 @@
 #include "gateway/directory.h"
 
 #include <algorithm>
-#include <random>
 
 #include <fmt/format.h>
 
@@ -11,31 +10,42 @@
 namespace {
 
 constexpr Millis kReadTimeout{1000};
-// Longest wait for changes of the configuration in one call. The socket's own probes find a
-// connection that has gone silent meanwhile.
-constexpr Millis kFollowWait{20'000};
-constexpr Millis kRetryLeast{150};
-constexpr Millis kRetryMost{400};
-// Connections left free for proxies that start while others still count.
-constexpr std::int64_t kSpareConnections = 6;
-
-Millis RetryPause() {
-  static thread_local std::minstd_rand random{std::random_device{}()};
-  return Millis(
-      std::uniform_int_distribution<std::int64_t>(kRetryLeast.count(), kRetryMost.count())(random));
-}
+// A group that no proxy has asked for within this time, and of which this proxy is no home, is closed.
+constexpr Millis kKeepUnused{15'000};
 
 }  // namespace
 
-Directory::Directory(GatewayContext& context, TablePort table, DirectoryDecoders decoders)
+Directory::Directory(GatewayContext& context,
+                     TablePort table,
+                     TablePort followed,
+                     DirectoryDecoders decoders,
+                     Fleet& fleet)
     : m_context(context),
       m_table(std::move(table)),
       m_decoders(std::move(decoders)),
-      m_servers(Millis(context.settings.list_return_ms)) {}
+      m_fleet(fleet),
+      m_configuration_rows(context, followed, m_decoders.configuration_table),
+      m_server_rows(context, followed, m_decoders.servers_table),
+      m_servers(Millis(context.settings.list_return_ms)) {
+  const auto on_contact = [this](bool reachable, const std::string& detail) {
+    OnStore(reachable, detail);
+  };
+  m_configuration_rows.set_on_change([this] { AdoptConfiguration(); });
+  m_configuration_rows.set_on_contact(on_contact);
+  m_server_rows.set_on_change([this] { AdoptServers(); });
+  m_server_rows.set_on_contact(on_contact);
+  m_fleet.set_on_change([this] { UpdateGroups(); });
+}
 
 void Directory::Start() {
-  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await FollowConfiguration(); });
-  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await FollowServers(); });
+  m_configuration_rows.Start();
+  m_server_rows.Start();
+}
+
+void Directory::Stop() {
+  m_stopped = true;
+  m_configuration_rows.Stop();
+  m_server_rows.Stop();
 }
 
 asio::awaitable<bool> Directory::WaitUntilKnown(TimePoint deadline) {
@@ -67,94 +77,43 @@
   }
 }
 
-asio::awaitable<void> Directory::FollowConfiguration() {
-  while (!m_stopped) {
-    const auto all =
-        co_await m_table.read(m_decoders.configuration_table, Clock::now() + kReadTimeout);
-    if (!all) {
-      OnStore(false, all.error().detail);
-      co_await Sleep(RetryPause());
-      continue;
-    }
-    AdoptRows(all->rows);
-    auto version = all->version;
-    while (!m_stopped) {
-      const auto changes =
-          co_await m_table.follow(m_decoders.configuration_table, version, kFollowWait);
-      if (!changes) {
-        OnStore(false, changes.error().detail);
-        co_await Sleep(RetryPause());
-        break;
-      }
-      if (changes->history_gone) {
-        break;
-      }
-      AdoptRows(changes->rows);
-      version = std::max(version, changes->version);
-    }
+void Directory::AdoptConfiguration() {
+  const auto& rows = m_configuration_rows.rows();
+  const auto row = rows.find(m_decoders.configuration_key);
+  if (row == rows.end()) {
+    return;
   }
-}
-
-void Directory::AdoptRows(const std::vector<TableRow>& rows) {
-  for (const auto& row : rows) {
-    if (row.key != m_decoders.configuration_key || row.gone) {
-      continue;
-    }
-    auto configuration = m_decoders.configuration(row.value);
-    if (!configuration) {
-      m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = row.key});
-      continue;
-    }
-    if (m_configuration && configuration->version <= m_configuration->version) {
-      continue;
-    }
-    m_context.events.Emit(
-        EventCode::kConfigAdopted,
-        {.detail = fmt::format("version {} with {} routes, row version {}", configuration->version,
-                               configuration->routes.size(), row.version)});
-    m_context.metrics.SetConfiguration(configuration->version);
-    m_configuration = std::move(configuration);
-    UpdateGroups();
-    m_changed.NotifyAll();
+  auto configuration = m_decoders.configuration(row->second.value);
+  if (!configuration) {
+    m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = row->first});
+    return;
   }
+  if (m_configuration && configuration->version <= m_configuration->version) {
+    return;
+  }
+  m_context.events.Emit(
+      EventCode::kConfigAdopted,
+      {.detail = fmt::format("version {} with {} routes, row version {}", configuration->version,
+                             configuration->routes.size(), row->second.version)});
+  m_context.metrics.SetConfiguration(configuration->version);
+  m_configuration = std::move(configuration);
+  UpdateGroups();
+  m_changed.NotifyAll();
 }
 
 asio::awaitable<bool> Directory::RefreshServers() {
-  const auto snapshot =
-      co_await m_table.read(m_decoders.servers_table, Clock::now() + kReadTimeout);
-  if (!snapshot) {
-    OnStore(false, snapshot.error().detail);
-    co_return false;
-  }
-  OnStore(true, "servers read");
-  AdoptServers(*snapshot);
-  co_return true;
-}
-
-asio::awaitable<void> Directory::FollowServers() {
-  while (!m_stopped) {
-    const bool read = co_await RefreshServers();
-    if (!read) {
-      co_await Sleep(RetryPause());
-      continue;
-    }
-    auto pause = Millis(m_context.settings.list_poll_ms);
-    if (m_servers.KeepsMissing()) {
-      pause = std::min(pause, Millis(m_context.settings.list_return_ms + 50));
-    }
-    co_await Sleep(pause);
-  }
+  co_return co_await m_server_rows.Refresh(m_table, Clock::now() + kReadTimeout);
 }
 
-void Directory::AdoptServers(const TableSnapshot& snapshot) {
+void Directory::AdoptServers() {
   std::vector<EndpointEntry> entries;
-  for (const auto& row : snapshot.rows) {
-    auto entry = m_decoders.server(row.key, row.value);
+  for (const auto& [key, row] : m_server_rows.rows()) {
+    auto entry = m_decoders.server(key, row.value);
     if (entry) {
       entries.push_back(std::move(*entry));
-    } else if (m_unreadable[row.key] != row.version) {
-      m_unreadable[row.key] = row.version;
-      m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = "server " + row.key});
+    } else if (m_unreadable[key] != row.version) {
+      m_unreadable[key] = row.version;
+      m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = "server " + key});
     }
   }
   m_servers.OnEntries(entries, Clock::now());
@@ -164,27 +123,85 @@
   if (first) {
     m_changed.NotifyAll();
   }
+  if (m_servers.KeepsMissing()) {
+    RecheckServers();
+  }
 }
 
-void Directory::UpdateGroups() {
-  if (!IsKnown()) {
+void Directory::RecheckServers() {
+  if (m_rechecking) {
     return;
   }
-  std::map<GroupId, std::vector<EndpointEntry>> by_group;
+  m_rechecking = true;
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> {
+    co_await Sleep(Millis(m_context.settings.list_return_ms + 50));
+    m_rechecking = false;
+    if (!m_stopped && m_server_rows.IsInStep()) {
+      AdoptServers();
+    }
+  });
+}
+
+const GroupSettings* Directory::FindSettings(const GroupId& id) const {
+  if (!m_configuration) {
+    return nullptr;
+  }
+  const auto it = m_configuration->groups.find(id);
+  return it == m_configuration->groups.end() ? nullptr : &it->second;
+}
+
+std::shared_ptr<GroupClient> Directory::OpenGroup(const GroupId& id) {
+  const auto* settings = FindSettings(id);
+  if (settings == nullptr || !IsKnown()) {
+    return nullptr;
+  }
+  m_last_asked[id] = Clock::now();
+  if (!m_groups.contains(id)) {
+    UpdateGroup(*settings);
+  }
+  return FindGroup(id);
+}
+
+void Directory::CloseUnused() {
+  const auto now = Clock::now();
+  std::erase_if(m_groups, [&](const auto& entry) {
+    const auto* settings = FindSettings(entry.first);
+    const auto most = settings == nullptr ? 0 : settings->max_connections;
+    const bool kept = m_fleet.IsHome(entry.first, static_cast<std::size_t>(most)) ||
+                      now - m_last_asked[entry.first] < kKeepUnused;
+    if (!kept) {
+      entry.second->Stop();
+    }
+    return !kept;
+  });
+}
+
+void Directory::UpdateGroup(const GroupSettings& settings) {
+  auto& group = m_groups[settings.group];
+  if (!group) {
+    group = std::make_shared<GroupClient>(m_context, settings.group);
+    group->Start();
+  }
+  const auto plan = m_fleet.Plan(static_cast<std::size_t>(settings.max_connections));
+  group->SetShare(plan.links);
+  std::vector<EndpointEntry> entries;
   for (auto& entry : m_servers.Entries()) {
-    by_group[entry.group].push_back(entry);
+    if (entry.group == settings.group) {
+      entries.push_back(std::move(entry));
+    }
+  }
+  group->Update(entries, settings);
+}
+
+void Directory::UpdateGroups() {
+  if (!IsKnown()) {
+    return;
   }
   for (const auto& [id, settings] : m_configuration->groups) {
-    auto& group = m_groups[id];
-    if (!group) {
-      group = std::make_shared<GroupClient>(m_context, id);
-      group->Start();
+    const auto most = static_cast<std::size_t>(settings.max_connections);
+    if (m_groups.contains(id) || m_fleet.IsHome(id, most)) {
+      UpdateGroup(settings);
     }
-    const auto vms = m_context.settings.expected_vms;
-    const auto share =
-        std::max<std::int64_t>(1, (settings.max_connections - kSpareConnections) / vms);
-    group->SetShare(static_cast<std::size_t>(share));
-    group->Update(by_group[id], settings);
   }
 }
 
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -10,7 +10,9 @@
 #include "async/notifier.h"
 #include "directory/configuration.h"
 #include "directory/server_list.h"
+#include "directory/table_follower.h"
 #include "directory/table_port.h"
+#include "fleet/fleet.h"
 #include "gateway/group_client.h"
 
 namespace cardamom {
@@ -28,12 +30,17 @@
 // Not thread safe: all use is on the thread of the context.
 class Directory {
  public:
-  Directory(GatewayContext& context, TablePort table, DirectoryDecoders decoders);
+  // `table` reaches the store; `followed` may be served by a relay. `fleet` outlives the directory.
+  Directory(GatewayContext& context,
+            TablePort table,
+            TablePort followed,
+            DirectoryDecoders decoders,
+            Fleet& fleet);
 
   void Start();
-  void Stop() { m_stopped = true; }
+  void Stop();
 
-  // Reads the list of servers now. Returns false if the store does not answer.
+  // Reads the list of servers now, from the store itself. Returns false if the store does not answer.
   asio::awaitable<bool> RefreshServers();
 
   // A configuration and a list of servers are known.
@@ -44,27 +51,45 @@
   const Configuration& configuration() const { return *m_configuration; }
   // The route of a database, or nullptr.
   const Route* FindRoute(const DatabaseName& database) const;
+  // The settings of a group, or nullptr.
+  const GroupSettings* FindSettings(const GroupId& id) const;
+  // The group, if this proxy is one of its homes or serves it for others.
   std::shared_ptr<GroupClient> FindGroup(const GroupId& id) const;
+  // As FindGroup; a group that others take this proxy for a home of is served from now on, until
+  // nobody asks for it any more. Returns nullptr if no configuration names the group.
+  std::shared_ptr<GroupClient> OpenGroup(const GroupId& id);
+  // Drops groups that this proxy is no home of and that were not asked for lately.
+  void CloseUnused();
+
+  TableFollower& configuration_follower() { return m_configuration_rows; }
+  TableFollower& servers_follower() { return m_server_rows; }
   const std::map<GroupId, std::shared_ptr<GroupClient>>& groups() const { return m_groups; }
 
  private:
-  asio::awaitable<void> FollowConfiguration();
-  asio::awaitable<void> FollowServers();
-  void AdoptRows(const std::vector<TableRow>& rows);
-  void AdoptServers(const TableSnapshot& snapshot);
+  void AdoptConfiguration();
+  void AdoptServers();
+  // Entries that are kept for now are looked at again when their time is over.
+  void RecheckServers();
   void UpdateGroups();
+  void UpdateGroup(const GroupSettings& settings);
   void OnStore(bool reachable, const std::string& detail);
 
   GatewayContext& m_context;
   const TablePort m_table;
   const DirectoryDecoders m_decoders;
+  Fleet& m_fleet;
+  TableFollower m_configuration_rows;
+  TableFollower m_server_rows;
   std::optional<Configuration> m_configuration;
   bool m_has_servers = false;
   bool m_store_reachable = true;
+  bool m_rechecking = false;
   bool m_stopped = false;
   ServerList m_servers;
   std::map<std::string, std::uint64_t> m_unreadable;
   std::map<GroupId, std::shared_ptr<GroupClient>> m_groups;
+  // When a group was last asked for by another proxy.
+  std::map<GroupId, TimePoint> m_last_asked;
   Notifier m_changed;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include "async/spawn.h"
+#include "fleet/remote_path.h"
+#include "gateway/local_path.h"
 
 namespace cardamom {
 namespace {
@@ -18,8 +20,12 @@
     : m_settings(settings),
       m_events(VmId(settings.vm_id), static_cast<std::size_t>(settings.event_ring)),
       m_context{io, m_settings, m_events, m_metrics, ports.open_link},
-      m_directory(m_context, ports.table, std::move(ports.decoders)),
-      m_front(m_context, m_directory),
+      m_fleet(m_context, ports.table, ports.table),
+      m_directory(m_context, ports.table, ports.table, std::move(ports.decoders), m_fleet),
+      m_runner(m_context),
+      m_homes(m_context, m_fleet),
+      m_peers(m_context, m_directory, m_runner),
+      m_front(m_context, m_directory, [this](const Route& route) { return FindPath(route); }),
       m_takeover(m_context,
                  ports.table,
                  std::move(ports.order),
@@ -28,19 +34,24 @@
 
 void Gateway::Start() {
   m_events.Emit(EventCode::kProcessStarted, {.detail = "sessions " + m_settings.listen_sessions});
+  m_fleet.Start();
   m_directory.Start();
   m_steward.Start();
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Housekeeping(); });
 }
 
 bool Gateway::IsReady() const {
-  return !m_stopping && m_directory.IsKnown();
+  return !m_stopping && m_directory.IsKnown() && m_fleet.IsSettled();
 }
 
 asio::awaitable<void> Gateway::Housekeeping() {
   bool ready = false;
   for (;;) {
     m_front.ExpireTransactions(false);
+    m_peers.ExpireTransactions(false);
+    if (m_directory.IsKnown() && m_fleet.IsSettled()) {
+      m_directory.CloseUnused();
+    }
     if (IsReady() != ready) {
       ready = !ready;
       m_events.Emit(ready ? EventCode::kReady : EventCode::kNotReady);
@@ -50,6 +61,23 @@
   }
 }
 
+std::shared_ptr<StatementPath> Gateway::FindPath(const Route& route) {
+  const auto* settings = m_directory.FindSettings(route.group);
+  if (settings == nullptr) {
+    return nullptr;
+  }
+  const auto most = static_cast<std::size_t>(settings->max_connections);
+  if (!m_fleet.IsHome(route.group, most) && m_fleet.IsSettled()) {
+    return std::make_shared<RemotePath>(m_context, m_homes, route.group, most);
+  }
+  const auto group = m_directory.OpenGroup(route.group);
+  return group ? std::make_shared<LocalPath>(m_runner, group) : nullptr;
+}
+
+asio::awaitable<HttpResponse> Gateway::HandlePeer(HttpRequest request) {
+  return m_peers.Handle(std::move(request));
+}
+
 asio::awaitable<HttpResponse> Gateway::HandleOperations(HttpRequest request) {
   HttpResponse response;
   if (request.target == "/metrics") {
@@ -76,15 +104,18 @@
   const auto end = started + limit - kStopReserve;
   m_stopping = true;
   m_events.Emit(EventCode::kProcessStopping);
+  m_peers.RefuseNewWork();
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await m_fleet.Leave(); });
   co_await Sleep(Millis(m_settings.stop_notice_ms));
   m_front.StartClosing();
   bool refusing = false;
-  while (close_idle() > 0 && Clock::now() < end) {
+  while (close_idle() + m_peers.held() > 0 && Clock::now() < end) {
     // Open transactions have half of the time to end.
     if (!refusing && Clock::now() - started > limit / 2 + kStopPoll) {
       refusing = true;
       m_front.RefuseNewWork();
       m_front.ExpireTransactions(true);
+      m_peers.ExpireTransactions(true);
     }
     co_await Sleep(kStopPoll);
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,9 @@
 #include <functional>
 #include <memory>
 
+#include "fleet/fleet.h"
+#include "fleet/home_client.h"
+#include "fleet/peer_service.h"
 #include "gateway/directory.h"
 #include "gateway/primary_steward.h"
 #include "gateway/session_front.h"
@@ -37,11 +40,14 @@
 
   SessionFront& front() { return m_front; }
   EventLog& events() { return m_events; }
+  // Answers other proxies.
+  asio::awaitable<HttpResponse> HandlePeer(HttpRequest request);
   // Answers requests for metrics and events.
   asio::awaitable<HttpResponse> HandleOperations(HttpRequest request);
 
  private:
   asio::awaitable<void> Housekeeping();
+  std::shared_ptr<StatementPath> FindPath(const Route& route);
   asio::awaitable<void> StopGracefully(std::function<std::size_t()> close_idle,
                                        std::function<void()> on_stopped);
 
@@ -49,7 +55,11 @@
   EventLog m_events;
   GatewayMetrics m_metrics;
   GatewayContext m_context;
+  Fleet m_fleet;
   Directory m_directory;
+  StatementRunner m_runner;
+  HomeClient m_homes;
+  PeerService m_peers;
   SessionFront m_front;
   Takeover m_takeover;
   PrimarySteward m_steward;
--- a/src/gateway/session_front.cc
+++ b/src/gateway/session_front.cc
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-SessionFront::SessionFront(GatewayContext& context, Directory& directory)
-    : m_context(context), m_directory(directory), m_runner(context) {}
+SessionFront::SessionFront(GatewayContext& context, Directory& directory, PathFinder find_path)
+    : m_context(context), m_directory(directory), m_find_path(std::move(find_path)) {}
 
 asio::awaitable<SessionFront::Opened> SessionFront::Open(DatabaseName database) {
   if (!m_directory.IsKnown() &&
@@ -27,7 +27,7 @@
     co_return ReplyError{StatementError::kUnknownDatabase, database.value()};
   }
   auto session =
-      std::make_shared<CallerSession>(m_context, m_directory, m_runner, std::move(database));
+      std::make_shared<CallerSession>(m_context, m_directory, m_find_path, std::move(database));
   if (m_refusing) {
     session->RefuseNewWork();
   }
--- a/src/gateway/session_front.h
+++ b/src/gateway/session_front.h
@@ -12,7 +12,7 @@
 // Not thread safe: all use is on the thread of the context.
 class SessionFront {
  public:
-  SessionFront(GatewayContext& context, Directory& directory);
+  SessionFront(GatewayContext& context, Directory& directory, PathFinder find_path);
 
   // A session, or why there is none. Waits for the first configuration for a while.
   using Opened = std::variant<std::shared_ptr<CallerSession>, ReplyError>;
@@ -36,7 +36,7 @@
  private:
   GatewayContext& m_context;
   Directory& m_directory;
-  StatementRunner m_runner;
+  const PathFinder m_find_path;
   std::list<std::shared_ptr<CallerSession>> m_sessions;
   bool m_closing = false;
   bool m_refusing = false;
--- a/src/gateway/statement_runner.h
+++ b/src/gateway/statement_runner.h
@@ -8,20 +8,10 @@
 
 #include "gateway/group_client.h"
 #include "gateway/statement_batch.h"
+#include "gateway/statement_task.h"
 
 namespace cardamom {
 
-// A statement together with what decides how it may run. References outlive the call.
-struct StatementTask {
-  const Statement& statement;
-  const CallerState& caller;
-  Route route;
-  // When the statement was read from the caller.
-  TimePoint received;
-  BootTime first_byte;
-  TimePoint deadline;
-};
-
 // A transaction's link. A transaction holds one from its first statement to its end.
 struct TransactionPin {
   std::shared_ptr<GroupClient> group;
--- a/src/proxy/membership.cc
+++ b/src/membership/membership.cc
@@ -1,4 +1,4 @@
-#include "proxy/membership.h"
+#include "membership/membership.h"
 
 #include <algorithm>
 
@@ -6,8 +6,7 @@
 
 namespace cardamom {
 
-bool Membership::Update(const VmList& list) {
-  auto vms = list.vms;
+bool Membership::Update(std::vector<VmEntry> vms) {
   std::sort(vms.begin(), vms.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
   const std::lock_guard lock(m_mutex);
   if (vms == m_vms) {
--- a/src/proxy/membership.h
+++ b/src/membership/membership.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "http/address.h"
-#include "table/platform_messages.h"
+#include "membership/vm_entry.h"
 
 namespace cardamom {
 
@@ -17,7 +17,7 @@
   explicit Membership(VmEntry self) : m_self(std::move(self)), m_vms({m_self}) {}
 
   // Takes a list from the platform. Returns whether it differs from the last one.
-  bool Update(const VmList& list);
+  bool Update(std::vector<VmEntry> vms);
 
   std::vector<VmEntry> vms() const;
   const VmEntry& self() const { return m_self; }
--- a/src/membership/rendezvous.cc
+++ b/src/membership/rendezvous.cc
@@ -1,7 +1,9 @@
 #include "membership/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -10,27 +12,32 @@
 namespace cardamom {
 namespace {
 
-std::uint64_t Weight(const VmId& vm, std::string_view name) {
+// Weighted rendezvous hashing: the smallest cost comes first, and a VM of twice the capacity gets four
+// times as many names, since what a VM needs for itself leaves a small one less than its share.
+double Cost(const VmEntry& vm, std::string_view name) {
   const auto seed = XXH3_64bits(name.data(), name.size());
-  return XXH3_64bits_withSeed(vm.value().data(), vm.value().size(), seed);
+  const auto hash = XXH3_64bits_withSeed(vm.id.value().data(), vm.id.value().size(), seed);
+  const auto part = (static_cast<double>(hash) + 1) /
+                    (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+  return -std::log(part) / (vm.capacity * vm.capacity);
 }
 
 }  // namespace
 
 std::vector<VmEntry> RankVms(const std::vector<VmEntry>& vms, std::string_view name) {
-  std::vector<std::pair<std::uint64_t, const VmEntry*>> weighted;
+  std::vector<std::pair<double, const VmEntry*>> weighted;
   weighted.reserve(vms.size());
   for (const auto& vm : vms) {
     if (!vm.leaving) {
-      weighted.emplace_back(Weight(vm.id, name), &vm);
+      weighted.emplace_back(Cost(vm, name), &vm);
     }
   }
   std::sort(weighted.begin(), weighted.end(), [](const auto& a, const auto& b) {
-    return std::pair(b.first, a.second->id) < std::pair(a.first, b.second->id);
+    return std::pair(a.first, a.second->id) < std::pair(b.first, b.second->id);
   });
   std::vector<VmEntry> ranked;
   ranked.reserve(weighted.size());
-  for (const auto& [weight, vm] : weighted) {
+  for (const auto& [cost, vm] : weighted) {
     ranked.push_back(*vm);
   }
   return ranked;
--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -282,7 +282,7 @@
     if (answer) {
       tag = answer->tag;
     }
-    if (answer && answer->list && m_membership.Update(*answer->list)) {
+    if (answer && answer->list && m_membership.Update(answer->list->vms)) {
       m_peers.Keep(answer->list->vms);
       m_on_change();
     }
--- a/src/proxy/config_follower.h
+++ b/src/proxy/config_follower.h
@@ -8,7 +8,7 @@
 #include <random>
 
 #include "config/config_state.h"
-#include "proxy/membership.h"
+#include "membership/membership.h"
 #include "proxy/peer_client.h"
 #include "proxy/peer_messages.h"
 #include "table/platform_client.h"
--- a/src/proxy/group_table.h
+++ b/src/proxy/group_table.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "proxy/group.h"
-#include "proxy/membership.h"
+#include "membership/membership.h"
 #include "proxy/steward.h"
 
 namespace cardamom {
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -1,6 +1,7 @@
 #include "settings/gateway_settings.h"
 
 #include <array>
+#include <charconv>
 
 #include <fmt/ranges.h>
 #include <boost/leaf/error.hpp>
@@ -31,8 +32,8 @@
            "Time between two readings of the endpoint list."},
     Number{"list-return-ms", &S::list_return_ms, 2200, 0, 600'000, "ms",
            "Time after an outage of the store for which missing endpoints are kept."},
-    Number{"expected-vms", &S::expected_vms, 24, 1, 100'000, "VMs",
-           "Proxies that share the connections of an endpoint, until membership tells."},
+    Number{"direct-vms", &S::direct_vms, 32, 1, 100'000, "VMs",
+           "Up to so many proxies hold connections of their own; a larger fleet has homes."},
 };
 
 constexpr std::array kTexts = {
@@ -42,17 +43,20 @@
     Text{"listen-sessions", &S::listen_sessions, "127.0.0.1:0", false, "Address for callers."},
     Text{"listen-ready", &S::listen_ready, "127.0.0.1:0", false,
          "Address for the balancer's question whether this proxy is ready."},
+    Text{"listen-peers", &S::listen_peers, "127.0.0.1:0", false, "Address for other proxies."},
     Text{"listen-metrics", &S::listen_metrics, "127.0.0.1:0", false,
          "Address for metrics, status and events."},
     Text{"store", &S::store, "", true, "Address of the platform's store."},
     Text{"orders", &S::orders, "", true, "Address of the platform's promotion service."},
+    Text{"capacity", &S::capacity_text, "1", false,
+         "Processor share of this VM; a VM with more of it is a home of more groups."},
     Text{"log-format", &S::log_format, "json", false, "text or json."},
     Text{"log-level", &S::log_level, "info", false, "debug, info, warn or error."},
 };
 
 void CheckAddresses(const GatewaySettings& settings, SettingsProblems& problems) {
   for (const auto member :
-       {&S::listen_sessions, &S::listen_ready, &S::listen_metrics, &S::store, &S::orders}) {
+       {&S::listen_sessions, &S::listen_ready, &S::listen_peers, &S::listen_metrics, &S::store, &S::orders}) {
     const auto& text = settings.*member;
     if (!text.empty() && !Address::Parse(text)) {
       problems.push_back(fmt::format("'{}' is not an address of the form IP:PORT", text));
@@ -62,6 +66,13 @@
 
 }  // namespace
 
+double GatewaySettings::capacity() const {
+  double value = 0;
+  const auto* end = capacity_text.data() + capacity_text.size();
+  const auto read = std::from_chars(capacity_text.data(), end, value);
+  return read.ec == std::errc() && read.ptr == end ? value : 0;
+}
+
 std::span<const Number> GatewayNumberSettings() {
   return kNumbers;
 }
@@ -78,6 +89,9 @@
   if (settings.log_format != "json" && settings.log_format != "text") {
     problems.push_back(fmt::format("log-format: '{}' is none of text, json", settings.log_format));
   }
+  if (settings.capacity() <= 0) {
+    problems.push_back(fmt::format("capacity: '{}' is no positive number", settings.capacity_text));
+  }
   if (settings.stop_notice_ms > settings.stop_limit_ms) {
     problems.emplace_back("stop-notice-ms: exceeds stop-limit-ms");
   }
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -18,9 +18,11 @@
   std::string region;
   std::string listen_sessions;
   std::string listen_ready;
+  std::string listen_peers;
   std::string listen_metrics;
   std::string store;
   std::string orders;
+  std::string capacity_text;
   std::string log_format;
   std::string log_level;
   std::int64_t event_ring = 0;
@@ -31,7 +33,10 @@
   std::int64_t drain_ms = 0;
   std::int64_t list_poll_ms = 0;
   std::int64_t list_return_ms = 0;
-  std::int64_t expected_vms = 0;
+  std::int64_t direct_vms = 32;
+
+  // Processor share of this VM. Precondition: the settings were checked.
+  double capacity() const;
 
   // Reads flags, environment and the settings file. Errors: kBadSetting whose detail lists every
   // problem. Thread safe.
--- a/src/table/platform_messages.h
+++ b/src/table/platform_messages.h
@@ -7,16 +7,17 @@
 
 #include "cardamom/strong.h"
 #include "core/json.h"
+#include "membership/vm_entry.h"
 
 namespace cardamom {
 
 // A row of the table. Version 0 stands for a row that does not exist.
-struct TableRow {
+struct PlatformRow {
   std::string key;
   std::uint64_t version = 0;
   std::string value;
 };
-BOOST_DESCRIBE_STRUCT(TableRow, (), (key, version, value))
+BOOST_DESCRIBE_STRUCT(PlatformRow, (), (key, version, value))
 
 struct RowVersion {
   std::string key;
@@ -41,7 +42,7 @@
 // `rows` holds the rows that `expect` names, as they are after the request.
 struct TransactAnswer {
   bool applied = false;
-  std::vector<TableRow> rows;
+  std::vector<PlatformRow> rows;
 };
 BOOST_DESCRIBE_STRUCT(TransactAnswer, (), (applied, rows))
 
@@ -53,25 +54,10 @@
 BOOST_DESCRIBE_STRUCT(TableReadRequest, (), (keys, prefixes))
 
 struct TableReadAnswer {
-  std::vector<TableRow> rows;
+  std::vector<PlatformRow> rows;
 };
 BOOST_DESCRIBE_STRUCT(TableReadAnswer, (), (rows))
 
-// One VM of the system, as the platform lists it.
-struct VmEntry {
-  VmId id;
-  // Where the VM's proxy answers its peers.
-  std::string peer_address;
-  // Where its operations port is.
-  std::string operations_address;
-  FailureDomain domain;
-  Region region;
-  bool leaving = false;
-
-  bool operator==(const VmEntry&) const = default;
-};
-BOOST_DESCRIBE_STRUCT(VmEntry, (), (id, peer_address, operations_address, domain, region, leaving))
-
 // GET /v1/vms.
 struct VmList {
   std::vector<VmEntry> vms;
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -123,7 +123,7 @@
   if (answer.applied) {
     ++m_last_version;
     for (auto& put : message->puts) {
-      m_rows[put.key] = TableRow{put.key, m_last_version, put.value};
+      m_rows[put.key] = PlatformRow{put.key, m_last_version, put.value};
     }
     for (const auto& key : message->deletes) {
       m_rows.erase(key);
@@ -131,7 +131,7 @@
   }
   for (const auto& expected : message->expect) {
     const auto it = m_rows.find(expected.key);
-    answer.rows.push_back(it == m_rows.end() ? TableRow{expected.key, 0, {}} : it->second);
+    answer.rows.push_back(it == m_rows.end() ? PlatformRow{expected.key, 0, {}} : it->second);
   }
   return JsonAnswer(answer, answer.applied ? 200 : 409);
 }
@@ -145,7 +145,7 @@
   TableReadAnswer answer;
   for (const auto& key : message->keys) {
     const auto it = m_rows.find(key);
-    answer.rows.push_back(it == m_rows.end() ? TableRow{key, 0, {}} : it->second);
+    answer.rows.push_back(it == m_rows.end() ? PlatformRow{key, 0, {}} : it->second);
   }
   for (const auto& prefix : message->prefixes) {
     for (auto it = m_rows.lower_bound(prefix); it != m_rows.end() && it->first.starts_with(prefix);
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -59,7 +59,7 @@
 
   std::mutex m_mutex;
   PlatformFaults m_faults;
-  std::map<std::string, TableRow> m_rows;
+  std::map<std::string, PlatformRow> m_rows;
   std::map<std::string, std::string> m_objects;
   std::deque<DatedVmList> m_vm_lists;
   std::uint64_t m_list_number = 0;
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -180,7 +180,7 @@
   GatewaySettings settings;
   settings.vm_id = "vm-1";
   settings.domain = "domain-0";
-  settings.expected_vms = 1;
+  settings.capacity_text = "1";
   return settings;
 }
 
--- a/tools/gateway_daemon.cc
+++ b/tools/gateway_daemon.cc
@@ -70,6 +70,12 @@
     if (!ready) {
       return Report(ready.error());
     }
+    auto peers = Listen(m_settings.listen_peers, [this](HttpRequest request) {
+      return m_gateway.HandlePeer(std::move(request));
+    });
+    if (!peers) {
+      return Report(peers.error());
+    }
     auto metrics = Listen(m_settings.listen_metrics, [this](HttpRequest request) {
       return m_gateway.HandleOperations(std::move(request));
     });
