Relays follow the store for the other proxies of their failure domain

Ruled out: heartbeats of the servers (they do not wake the feed); most calls came of the joins at the start. Change: two proxies of a failure domain follow the store; the others follow them by turns in waits of 1.3 s, so that a relay that is frozen or cut off delays a change by one turn; where no relay answers they ask the store. While a fleet starts the members are read again every 300 ms instead of followed. A proxy that starts while the store is away takes what peers (the seeds, too) know.

--- a/src/directory/table_follower.cc
+++ b/src/directory/table_follower.cc
@@ -21,10 +21,11 @@
 
 }  // namespace
 
-TableFollower::TableFollower(GatewayContext& context, TablePort table, std::string name)
-    : m_context(context), m_table(std::move(table)), m_name(std::move(name)) {}
+TableFollower::TableFollower(GatewayContext& context, std::string name)
+    : m_context(context), m_name(std::move(name)) {}
 
-void TableFollower::Start() {
+void TableFollower::Start(TablePort table) {
+  m_table = std::move(table);
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Run(); });
 }
 
@@ -153,6 +154,10 @@
   if (!m_known || !m_in_step) {
     return Error{ResultCode::kPlatformUnavailable, m_name + " is not in step", Ran::kNo};
   }
+  return Known();
+}
+
+TableSnapshot TableFollower::Known() const {
   TableSnapshot snapshot;
   snapshot.version = m_version;
   for (const auto& [key, row] : m_rows) {
--- a/src/directory/table_follower.h
+++ b/src/directory/table_follower.h
@@ -15,9 +15,10 @@
 // Not thread safe: all use is on the thread of the context. The follower outlives its Start.
 class TableFollower {
  public:
-  TableFollower(GatewayContext& context, TablePort table, std::string name);
+  TableFollower(GatewayContext& context, std::string name);
 
-  void Start();
+  // Follows the table through `table` from now on. Call it once.
+  void Start(TablePort table);
   void Stop() { m_stopped = true; }
 
   // Called after rows were read or changed.
@@ -44,6 +45,8 @@
   asio::awaitable<Outcome<TableSnapshot>> Changes(std::uint64_t after, Millis wait);
   // All rows. Errors: as above.
   Outcome<TableSnapshot> Snapshot() const;
+  // All rows as they were last read, however long ago; version 0 if they never were.
+  TableSnapshot Known() const;
 
  private:
   asio::awaitable<void> Run();
@@ -55,7 +58,7 @@
   Millis RetryPause();
 
   GatewayContext& m_context;
-  const TablePort m_table;
+  TablePort m_table;
   const std::string m_name;
   std::function<void()> m_on_change;
   std::function<void(bool, const std::string&)> m_on_contact;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-Fleet::Fleet(GatewayContext& context, TablePort table, TablePort followed)
-    : m_context(context), m_table(std::move(table)), m_follower(context, std::move(followed), kTable) {
+Fleet::Fleet(GatewayContext& context, TablePort table)
+    : m_context(context), m_table(std::move(table)), m_follower(context, kTable) {
   const auto& settings = context.settings;
   m_self.id = VmId(settings.vm_id);
   m_self.peer_address = settings.listen_peers;
@@ -33,8 +33,8 @@
   m_follower.set_on_change([this] { AdoptRows(); });
 }
 
-void Fleet::Start() {
-  m_follower.Start();
+void Fleet::Start(TablePort followed) {
+  m_follower.Start(std::move(followed));
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Register(); });
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Settle(); });
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -22,10 +22,11 @@
  public:
   static constexpr const char* kTable = "members";
 
-  // `table` reaches the store; `followed` may be served by a relay.
-  Fleet(GatewayContext& context, TablePort table, TablePort followed);
+  // `table` reaches the store.
+  Fleet(GatewayContext& context, TablePort table);
 
-  void Start();
+  // `followed` may be served by a relay.
+  void Start(TablePort followed);
   // Tells the others that this proxy leaves, if the store takes it in time.
   asio::awaitable<void> Leave();
 
--- a/src/fleet/home_client.cc
+++ b/src/fleet/home_client.cc
@@ -91,6 +91,11 @@
   return avoided;
 }
 
+bool HomeClient::IsAvoided(const VmEntry& vm) {
+  const auto peer = PeerOf(vm);
+  return !peer || Clock::now() < peer->avoided_until;
+}
+
 asio::awaitable<Outcome<HttpResponse>> HomeClient::Send(const VmEntry& vm,
                                                         HttpRequest request,
                                                         TimePoint deadline) {
@@ -98,9 +103,16 @@
   if (!peer) {
     co_return Error{ResultCode::kTransport, "no usable address", Ran::kNo};
   }
-  auto answer = co_await peer->pool->Send(std::move(request), deadline);
+  auto lease = co_await peer->pool->Acquire(std::min(deadline, Clock::now() + kConnectTimeout));
+  if (!lease) {
+    OnFailure(*peer, lease.error().detail);
+    co_return lease.error();
+  }
+  auto answer = co_await lease->connection().Send(std::move(request), deadline);
   if (answer) {
     OnHeard(*peer);
+  } else {
+    OnFailure(*peer, answer.error().detail);
   }
   co_return answer;
 }
--- a/src/fleet/home_client.h
+++ b/src/fleet/home_client.h
@@ -56,7 +56,10 @@
                                           const ForwardTimes& times,
                                           bool may_abandon);
 
-  // Sends any request to a peer. Errors: as ConnectionPool::Send.
+  // Whether `vm` did not answer just now.
+  bool IsAvoided(const VmEntry& vm);
+
+  // Sends any request to a peer, before `deadline`. Errors: as ConnectionPool::Send.
   asio::awaitable<Outcome<HttpResponse>> Send(const VmEntry& vm,
                                               HttpRequest request,
                                               TimePoint deadline);
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -95,4 +95,30 @@
                       (),
                       (taken, rows, signature, error, error_text, state, position, transaction))
 
+// One row of a followed table; the value may be any bytes.
+struct PeerRow {
+  std::string key;
+  std::uint64_t version = 0;
+  bool gone = false;
+  std::string value_base64;
+};
+BOOST_DESCRIBE_STRUCT(PeerRow, (), (key, version, gone, value_base64))
+
+// POST kPeerTablePath: the rows of a table, or what changed after a version.
+struct PeerTableRequest {
+  std::string table;
+  std::optional<std::uint64_t> after;
+  std::int64_t wait_ms = 0;
+  // A proxy that starts takes what a peer knows, however old.
+  bool any_age = false;
+};
+BOOST_DESCRIBE_STRUCT(PeerTableRequest, (), (table, after, wait_ms, any_age))
+
+struct PeerTableReply {
+  std::vector<PeerRow> rows;
+  std::uint64_t version = 0;
+  bool history_gone = false;
+};
+BOOST_DESCRIBE_STRUCT(PeerTableReply, (), (rows, version, history_gone))
+
 }  // namespace cardamom
--- a/src/fleet/peer_service.cc
+++ b/src/fleet/peer_service.cc
@@ -1,10 +1,11 @@
 #include "fleet/peer_service.h"
 
-#include <vector>
+#include <algorithm>
 
 #include <fmt/format.h>
 
 #include "async/spawn.h"
+#include "core/base64.h"
 #include "core/random_id.h"
 
 namespace cardamom {
@@ -13,6 +14,8 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr Millis kMostTableWait{30'000};
 // The proxy that holds the caller ends an idle transaction first.
 constexpr Millis kIdleSlack{700};
 
@@ -25,14 +28,25 @@
 
 }  // namespace
 
-PeerService::PeerService(GatewayContext& context, Directory& directory, StatementRunner& runner)
-    : m_context(context), m_directory(directory), m_runner(runner) {}
+PeerService::PeerService(GatewayContext& context,
+                         Directory& directory,
+                         StatementRunner& runner,
+                         std::vector<TableFollower*> tables,
+                         IsFromStore is_from_store)
+    : m_context(context),
+      m_directory(directory),
+      m_runner(runner),
+      m_tables(std::move(tables)),
+      m_is_from_store(std::move(is_from_store)) {}
 
 asio::awaitable<HttpResponse> PeerService::Handle(HttpRequest request) {
   HttpResponse response;
   if (request.target == kPeerPingPath) {
     co_return response;
   }
+  if (request.target == kPeerTablePath) {
+    co_return co_await AnswerTable(std::move(request.body));
+  }
   if (request.target != kPeerStatementPath) {
     response.status = kNotFound;
     co_return response;
@@ -48,6 +62,44 @@
   co_return response;
 }
 
+asio::awaitable<HttpResponse> PeerService::AnswerTable(std::string body) {
+  HttpResponse response;
+  const auto request = Decode<PeerTableRequest>(body);
+  const auto place = std::find_if(m_tables.begin(), m_tables.end(), [&](const auto* table) {
+    return request && table->name() == request->table;
+  });
+  if (place == m_tables.end()) {
+    response.status = kBadRequest;
+    response.body = request ? "no such table" : request.error().detail;
+    co_return response;
+  }
+  auto& table = **place;
+  const auto wait = std::clamp(Millis(request->wait_ms), Millis(0), kMostTableWait);
+  const bool relays = m_is_from_store(table.name());
+  Outcome<TableSnapshot> found =
+      Error{ResultCode::kPlatformUnavailable, "this proxy does not follow the store", Ran::kNo};
+  if (request->any_age) {
+    found = table.Known();
+  } else if (relays && request->after) {
+    found = co_await table.Changes(*request->after, wait);
+  } else if (relays) {
+    found = table.Snapshot();
+  }
+  if (!found) {
+    response.status = kUnavailable;
+    response.body = found.error().detail;
+    co_return response;
+  }
+  PeerTableReply reply;
+  reply.version = found->version;
+  reply.history_gone = found->history_gone;
+  for (const auto& row : found->rows) {
+    reply.rows.push_back({row.key, row.version, row.gone, EncodeBase64(row.value)});
+  }
+  response.body = Encode(reply);
+  co_return response;
+}
+
 asio::awaitable<PeerReply> PeerService::Run(PeerStatement message) {
   const auto in = FromMessage(message, Clock::now(), BootClock::now());
   if (!in) {
--- a/src/fleet/peer_service.h
+++ b/src/fleet/peer_service.h
@@ -1,9 +1,11 @@
 // Answers other proxies: statements for groups of which this proxy is a home, and tables it follows.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "fleet/fleet.h"
 #include "fleet/peer_codec.h"
@@ -16,7 +18,15 @@
 // Not thread safe: all use is on the thread of the context.
 class PeerService {
  public:
-  PeerService(GatewayContext& context, Directory& directory, StatementRunner& runner);
+  // Says whether what this proxy knows of a table comes from the store itself.
+  using IsFromStore = std::function<bool(const std::string& table)>;
+
+  // `tables` may be followed by peers. All references and pointers outlive the service.
+  PeerService(GatewayContext& context,
+              Directory& directory,
+              StatementRunner& runner,
+              std::vector<TableFollower*> tables,
+              IsFromStore is_from_store);
 
   asio::awaitable<HttpResponse> Handle(HttpRequest request);
 
@@ -42,9 +52,13 @@
   asio::awaitable<PeerReply> RunOutside(const ReceivedStatement& in, const PeerStatement& message);
   asio::awaitable<PeerReply> RunHeld(const ReceivedStatement& in, const PeerStatement& message);
 
+  asio::awaitable<HttpResponse> AnswerTable(std::string body);
+
   GatewayContext& m_context;
   Directory& m_directory;
   StatementRunner& m_runner;
+  const std::vector<TableFollower*> m_tables;
+  const IsFromStore m_is_from_store;
   std::map<std::string, HeldPtr> m_held;
   bool m_refusing = false;
 };
--- /dev/null
+++ b/src/fleet/relayed_table.cc
@@ -0,0 +1,191 @@
+#include "fleet/relayed_table.h"
+
+#include <utility>
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+
+#include "async/notifier.h"
+#include "core/base64.h"
+#include "membership/rendezvous.h"
+
+namespace cardamom {
+namespace {
+
+// Longest wait for changes in one call to the store: a store that swallows calls is found by it.
+constexpr Millis kStoreWait{5000};
+// Longest wait at a relay, and the time in which its answer then has to come: a change reaches every
+// proxy within two turns.
+constexpr Millis kRelayWait{1300};
+constexpr Millis kRelaySlack{400};
+constexpr Millis kRelayReadTimeout{500};
+constexpr Millis kSettlePoll{25};
+// Time between two readings of the members while a fleet starts.
+constexpr Millis kMembersPause{300};
+constexpr std::size_t kMostAsked = 4;
+constexpr int kOk = 200;
+
+Error Unavailable(std::string detail) {
+  return Error{ResultCode::kPlatformUnavailable, std::move(detail), Ran::kNo};
+}
+
+Outcome<TableSnapshot> ReadReply(const std::string& body) {
+  auto reply = Decode<PeerTableReply>(body);
+  if (!reply) {
+    return reply.error();
+  }
+  TableSnapshot snapshot;
+  snapshot.version = reply->version;
+  snapshot.history_gone = reply->history_gone;
+  try {
+    for (auto& row : reply->rows) {
+      snapshot.rows.push_back(
+          {std::move(row.key), DecodeBase64(row.value_base64), row.version, row.gone});
+    }
+  } catch (const std::exception& failure) {
+    return Error{ResultCode::kBadField, failure.what(), Ran::kNo};
+  }
+  return snapshot;
+}
+
+}  // namespace
+
+RelayedTable::RelayedTable(GatewayContext& context,
+                           TablePort table,
+                           const Fleet& fleet,
+                           HomeClient& peers)
+    : m_context(context), m_table(std::move(table)), m_fleet(fleet), m_peers(peers) {}
+
+TablePort RelayedTable::Port() {
+  TablePort port;
+  port.read = [this](std::string table, TimePoint deadline) {
+    return Read(std::move(table), deadline);
+  };
+  port.follow = [this](std::string table, std::uint64_t after, Millis wait) {
+    return Follow(std::move(table), after, wait);
+  };
+  return port;
+}
+
+bool RelayedTable::IsFromStore(const std::string& table) const {
+  const auto it = m_from_store.find(table);
+  return it != m_from_store.end() && it->second;
+}
+
+asio::awaitable<bool> RelayedTable::WaitUntilSettled(TimePoint deadline) {
+  while (!m_fleet.IsSettled() && Clock::now() < deadline) {
+    co_await Sleep(kSettlePoll);
+  }
+  co_return m_fleet.IsSettled();
+}
+
+asio::awaitable<Outcome<TableSnapshot>> RelayedTable::Ask(VmEntry vm,
+                                                          PeerTableRequest request,
+                                                          TimePoint deadline) {
+  HttpRequest message;
+  message.method = "POST";
+  message.target = kPeerTablePath;
+  message.headers.push_back({"Content-Type", "application/json"});
+  message.body = Encode(request);
+  const auto response = co_await m_peers.Send(vm, std::move(message), deadline);
+  if (!response) {
+    co_return Unavailable(vm.id.value() + ": " + response.error().detail);
+  }
+  if (response->status != kOk) {
+    co_return Unavailable(vm.id.value() + ": " + response->body);
+  }
+  co_return ReadReply(response->body);
+}
+
+asio::awaitable<Outcome<TableSnapshot>> RelayedTable::AskRelays(PeerTableRequest request,
+                                                                TimePoint deadline) {
+  const auto relays = m_fleet.Relays();
+  std::string reason = "no relay";
+  for (std::size_t i = 0; i < relays.size(); ++i) {
+    const auto& relay = relays[m_turn++ % relays.size()];
+    if (relay.id == m_fleet.self().id || m_peers.IsAvoided(relay)) {
+      continue;
+    }
+    auto answer = co_await Ask(relay, request, deadline);
+    if (answer) {
+      co_return answer;
+    }
+    reason = answer.error().detail;
+  }
+  co_return Unavailable(std::move(reason));
+}
+
+asio::awaitable<Outcome<TableSnapshot>> RelayedTable::AskAnyone(std::string table) {
+  std::vector<std::string> seeds;
+  boost::split(seeds, m_context.settings.seeds, boost::is_any_of(","));
+  auto peers = RankVms(m_fleet.vms(), m_fleet.self().id.value());
+  for (const auto& seed : seeds) {
+    VmEntry vm;
+    vm.id = VmId(seed);
+    vm.peer_address = seed;
+    peers.push_back(std::move(vm));
+  }
+  std::size_t asked = 0;
+  for (const auto& vm : peers) {
+    if (vm.peer_address == m_fleet.self().peer_address || vm.peer_address.empty() ||
+        asked++ >= kMostAsked) {
+      continue;
+    }
+    PeerTableRequest request{table, std::nullopt, 0, true};
+    auto answer = co_await Ask(vm, std::move(request), Clock::now() + kRelayReadTimeout);
+    if (answer && answer->version > 0) {
+      co_return answer;
+    }
+  }
+  co_return Unavailable("nobody knows " + table);
+}
+
+asio::awaitable<Outcome<TableSnapshot>> RelayedTable::Read(std::string table, TimePoint deadline) {
+  const bool is_members = table == Fleet::kTable;
+  if (!is_members) {
+    co_await WaitUntilSettled(deadline);
+  }
+  if (m_fleet.IsSettled() && !m_fleet.IsRelay()) {
+    PeerTableRequest request{table, std::nullopt, 0, false};
+    auto answer = co_await AskRelays(std::move(request), Clock::now() + kRelayReadTimeout);
+    if (answer) {
+      m_from_store[table] = false;
+      m_known[table] = true;
+      co_return answer;
+    }
+  }
+  auto answer = co_await m_table.read(table, std::max(deadline, Clock::now() + kRelayReadTimeout));
+  m_from_store[table] = answer.has_value();
+  if (!answer && !m_known[table]) {
+    answer = co_await AskAnyone(table);
+  }
+  m_known[table] = m_known[table] || answer.has_value();
+  co_return answer;
+}
+
+asio::awaitable<Outcome<TableSnapshot>> RelayedTable::Follow(std::string table,
+                                                             std::uint64_t after,
+                                                             Millis wait) {
+  if (!m_fleet.IsSettled()) {
+    // Changes come thick while a fleet starts: the table is read again after a while.
+    co_await Sleep(kMembersPause);
+    TableSnapshot again;
+    again.history_gone = true;
+    co_return again;
+  }
+  if (!m_fleet.IsRelay()) {
+    const auto turn = std::min(wait, kRelayWait);
+    PeerTableRequest request{table, after, turn.count(), false};
+    auto answer = co_await AskRelays(std::move(request), Clock::now() + turn + kRelaySlack);
+    if (answer) {
+      m_from_store[table] = false;
+      co_return answer;
+    }
+    wait = std::min(wait, kRelayWait);
+  }
+  auto answer = co_await m_table.follow(table, after, std::min(wait, kStoreWait));
+  m_from_store[table] = answer.has_value();
+  co_return answer;
+}
+
+}  // namespace cardamom
--- /dev/null
+++ b/src/fleet/relayed_table.h
@@ -0,0 +1,50 @@
+// The store's tables as a proxy follows them: relays ask the store, the others ask the relays.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "fleet/fleet.h"
+#include "fleet/home_client.h"
+
+namespace cardamom {
+
+// Two proxies of a failure domain are its relays. The others ask them by turns, so that one that is
+// frozen, cut off from the store or behind delays a change by one turn at most, and ask the store
+// themselves where no relay answers. Not thread safe: all use is on the thread of the context.
+class RelayedTable {
+ public:
+  // `table` reaches the store. The references outlive the object.
+  RelayedTable(GatewayContext& context, TablePort table, const Fleet& fleet, HomeClient& peers);
+
+  // Hooks that read and follow; they do not write.
+  TablePort Port();
+
+  // Whether the last answer for `table` came from the store itself, so that peers may rely on it.
+  bool IsFromStore(const std::string& table) const;
+
+ private:
+  asio::awaitable<Outcome<TableSnapshot>> Read(std::string table, TimePoint deadline);
+  asio::awaitable<Outcome<TableSnapshot>> Follow(std::string table,
+                                                 std::uint64_t after,
+                                                 Millis wait);
+  // Asks the relays by turns. Errors: kPlatformUnavailable if none answered.
+  asio::awaitable<Outcome<TableSnapshot>> AskRelays(PeerTableRequest request, TimePoint deadline);
+  // Asks whoever is known, for what it has, however old.
+  asio::awaitable<Outcome<TableSnapshot>> AskAnyone(std::string table);
+  asio::awaitable<Outcome<TableSnapshot>> Ask(VmEntry vm,
+                                              PeerTableRequest request,
+                                              TimePoint deadline);
+  asio::awaitable<bool> WaitUntilSettled(TimePoint deadline);
+
+  GatewayContext& m_context;
+  const TablePort m_table;
+  const Fleet& m_fleet;
+  HomeClient& m_peers;
+  std::size_t m_turn = 0;
+  std::map<std::string, bool> m_from_store;
+  // Tables that were read at least once.
+  std::map<std::string, bool> m_known;
+};
+
+}  // namespace cardamom
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -22,10 +22,11 @@
                      Fleet& fleet)
     : m_context(context),
       m_table(std::move(table)),
+      m_followed(std::move(followed)),
       m_decoders(std::move(decoders)),
       m_fleet(fleet),
-      m_configuration_rows(context, followed, m_decoders.configuration_table),
-      m_server_rows(context, followed, m_decoders.servers_table),
+      m_configuration_rows(context, m_decoders.configuration_table),
+      m_server_rows(context, m_decoders.servers_table),
       m_servers(Millis(context.settings.list_return_ms)) {
   const auto on_contact = [this](bool reachable, const std::string& detail) {
     OnStore(reachable, detail);
@@ -38,8 +39,8 @@
 }
 
 void Directory::Start() {
-  m_configuration_rows.Start();
-  m_server_rows.Start();
+  m_configuration_rows.Start(m_followed);
+  m_server_rows.Start(m_followed);
 }
 
 void Directory::Stop() {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -76,6 +76,7 @@
 
   GatewayContext& m_context;
   const TablePort m_table;
+  const TablePort m_followed;
   const DirectoryDecoders m_decoders;
   Fleet& m_fleet;
   TableFollower m_configuration_rows;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,11 +20,21 @@
     : m_settings(settings),
       m_events(VmId(settings.vm_id), static_cast<std::size_t>(settings.event_ring)),
       m_context{io, m_settings, m_events, m_metrics, ports.open_link},
-      m_fleet(m_context, ports.table, ports.table),
-      m_directory(m_context, ports.table, ports.table, std::move(ports.decoders), m_fleet),
-      m_runner(m_context),
+      m_fleet(m_context, ports.table),
       m_homes(m_context, m_fleet),
-      m_peers(m_context, m_directory, m_runner),
+      m_relayed(m_context, ports.table, m_fleet, m_homes),
+      m_directory(m_context,
+                  ports.table,
+                  m_relayed.Port(),
+                  std::move(ports.decoders),
+                  m_fleet),
+      m_runner(m_context),
+      m_peers(m_context,
+              m_directory,
+              m_runner,
+              {&m_fleet.follower(), &m_directory.configuration_follower(),
+               &m_directory.servers_follower()},
+              [this](const std::string& table) { return m_relayed.IsFromStore(table); }),
       m_front(m_context, m_directory, [this](const Route& route) { return FindPath(route); }),
       m_takeover(m_context,
                  ports.table,
@@ -34,7 +44,7 @@
 
 void Gateway::Start() {
   m_events.Emit(EventCode::kProcessStarted, {.detail = "sessions " + m_settings.listen_sessions});
-  m_fleet.Start();
+  m_fleet.Start(m_relayed.Port());
   m_directory.Start();
   m_steward.Start();
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Housekeeping(); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "fleet/fleet.h"
 #include "fleet/home_client.h"
 #include "fleet/peer_service.h"
+#include "fleet/relayed_table.h"
 #include "gateway/directory.h"
 #include "gateway/primary_steward.h"
 #include "gateway/session_front.h"
@@ -56,9 +57,10 @@
   GatewayMetrics m_metrics;
   GatewayContext m_context;
   Fleet m_fleet;
+  HomeClient m_homes;
+  RelayedTable m_relayed;
   Directory m_directory;
   StatementRunner m_runner;
-  HomeClient m_homes;
   PeerService m_peers;
   SessionFront m_front;
   Takeover m_takeover;
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -48,6 +48,8 @@
          "Address for metrics, status and events."},
     Text{"store", &S::store, "", true, "Address of the platform's store."},
     Text{"orders", &S::orders, "", true, "Address of the platform's promotion service."},
+    Text{"seeds", &S::seeds, "", false,
+         "Peer addresses to ask at the start while the store does not answer, separated by commas."},
     Text{"capacity", &S::capacity_text, "1", false,
          "Processor share of this VM; a VM with more of it is a home of more groups."},
     Text{"log-format", &S::log_format, "json", false, "text or json."},
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -22,6 +22,7 @@
   std::string listen_metrics;
   std::string store;
   std::string orders;
+  std::string seeds;
   std::string capacity_text;
   std::string log_format;
   std::string log_level;
