A leaving primary gets no statement once its time to drain is nearly over; tests of homes, relays and the list

Cause: the setting drain-ms was read and used by nothing; a primary that leaves and cannot be replaced safely kept its callers until its end (DRAIN rested on the takeover alone). Change: statements are refused at a primary that has been leaving for drain-ms less 2 s; ages are still sampled there, so that replicas go on to serve reads. ServerListTest.WithoutAnOutageAMissingEntryIsGoneAtOnce was wrong since the list is followed by its feed: an entry that lapsed in an outage nobody noticed would be dropped although its server works.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -32,6 +32,8 @@
 constexpr Millis kBaseOtherDomain{12};
 // Margin over the estimated lag below which a replica is not asked.
 constexpr Millis kLagMargin{20};
+// Part of the time to drain in which the news of a leaving server spreads and statements get there.
+constexpr Millis kDrainMargin{2000};
 // An estimate of lag is believed for this long without a new answer.
 constexpr Millis kLagBelief{700};
 
@@ -156,6 +158,11 @@
   }
 }
 
+bool GroupClient::IsDrained(const Endpoint& endpoint) const {
+  return endpoint.leaving_since &&
+         Clock::now() - *endpoint.leaving_since > Millis(m_context.settings.drain_ms) - kDrainMargin;
+}
+
 GroupClient::EndpointPtr GroupClient::primary() const {
   if (!m_primary) {
     return nullptr;
@@ -164,9 +171,19 @@
 }
 
 asio::awaitable<GroupClient::EndpointPtr> GroupClient::WaitForPrimary(TimePoint deadline) {
-  const auto usable = [this] { return primary() && !m_health.failing_since; };
+  const std::function<bool()> usable = [this] {
+    const auto endpoint = primary();
+    return endpoint && !m_health.failing_since && !IsDrained(*endpoint);
+  };
+  co_return co_await WaitFor(usable, deadline);
+}
+
+asio::awaitable<GroupClient::EndpointPtr> GroupClient::WaitFor(std::function<bool()> usable,
+                                                               TimePoint deadline) {
   if (!usable()) {
-    StartSearch();
+    if (!primary() || m_health.failing_since) {
+      StartSearch();
+    }
     co_await m_changed.WaitUntil(usable, deadline);
   }
   co_return usable() ? primary() : nullptr;
@@ -188,7 +205,7 @@
     option.is_primary = m_primary == id;
     option.reachable = now >= endpoint->avoided_until && !endpoint->entry.leaving;
     if (option.is_primary) {
-      option.reachable = !m_health.failing_since;
+      option.reachable = !m_health.failing_since && !IsDrained(*endpoint);
     }
     // A replica holds the position if it lags by less than the position's age.
     const auto lag = boot_now - endpoint->lag_seen < kLagBelief ? endpoint->lag : Duration::zero();
@@ -211,7 +228,9 @@
     if (const auto position = m_watermarks.Covering(not_before)) {
       co_return position;
     }
-    const auto endpoint = co_await WaitForPrimary(deadline);
+    // A question takes no work of the server, so a leaving one may still be asked.
+    const std::function<bool()> answers = [this] { return primary() && !m_health.failing_since; };
+    const auto endpoint = co_await WaitFor(answers, deadline);
     if (!endpoint || Clock::now() >= deadline) {
       co_return std::nullopt;
     }
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -1,6 +1,7 @@
 // What this proxy knows of a database group, and how it reaches its servers.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,6 +56,9 @@
   void Start();
   void Stop();
 
+  // Whether `endpoint` has been leaving for so long that it may get no more statements.
+  bool IsDrained(const Endpoint& endpoint) const;
+
   // The primary, if known and not known to be failing.
   EndpointPtr primary() const;
   // Waits for a primary other than one that fails. Returns nullptr at `deadline`.
@@ -112,6 +116,8 @@
                                                    std::optional<BootTime> valid_until);
 
  private:
+  // The primary once `usable` holds, or nullptr at `deadline`.
+  asio::awaitable<EndpointPtr> WaitFor(std::function<bool()> usable, TimePoint deadline);
   void AddEndpoint(const EndpointEntry& entry);
   // Drops the servers that `listed` does not show.
   void DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed);
--- /dev/null
+++ b/tests/unit/fleet_fakes.cc
@@ -0,0 +1,170 @@
+#include "fleet_fakes.h"
+
+#include <fmt/format.h>
+
+#include "async/notifier.h"
+#include "async/spawn.h"
+
+namespace cardamom::testing {
+namespace {
+
+constexpr const char* kGroup = "orders";
+constexpr const char* kDatabase = "depot";
+
+}  // namespace
+
+std::vector<Event> FakeVm::Events(EventCode code) {
+  auto events = gateway->events().Snapshot();
+  std::erase_if(events, [code](const Event& event) { return event.code != static_cast<int>(code); });
+  return events;
+}
+
+FakeFleet::FakeFleet(std::size_t vms, std::size_t domains, std::int64_t direct_vms)
+    : m_direct_vms(direct_vms) {
+  Configure(1, Millis(800));
+  for (const auto& entry : servers.Entries()) {
+    table.Put("servers", entry.id.value(), "");
+  }
+  for (std::size_t i = 0; i < vms; ++i) {
+    Add(fmt::format("domain-{}", i % domains), "");
+  }
+  RunUntil(
+      [this] {
+        return std::all_of(m_vms.begin(), m_vms.end(),
+                           [](const auto& vm) { return vm->gateway->IsReady(); });
+      },
+      Millis(5000));
+}
+
+FakeFleet::~FakeFleet() {
+  io.stop();
+}
+
+GatewayPorts FakeFleet::Ports() {
+  GatewayPorts ports;
+  ports.table = table.Port();
+  ports.decoders.configuration_table = "op";
+  ports.decoders.configuration_key = "config";
+  ports.decoders.servers_table = "servers";
+  ports.decoders.configuration = [this](std::string_view text) -> std::optional<Configuration> {
+    const auto colon = text.find(':');
+    Configuration configuration;
+    configuration.version = std::stoull(std::string(text.substr(0, colon)));
+    configuration.transaction_idle = transaction_idle;
+    Route route;
+    route.database = DatabaseName(kDatabase);
+    route.group = GroupId(kGroup);
+    route.consistency = Consistency::kReadYourWrites;
+    route.max_staleness = Millis(500);
+    route.statement_timeout = Millis(std::stoll(std::string(text.substr(colon + 1))));
+    configuration.routes[route.database] = route;
+    GroupSettings group;
+    group.group = route.group;
+    group.max_connections = 40;
+    configuration.groups[group.group] = group;
+    return configuration;
+  };
+  ports.decoders.server = [this](std::string_view id, std::string_view) {
+    return std::optional(servers.Find(std::string(id))->entry);
+  };
+  ports.order = [this](std::string, std::string endpoint, std::string, std::uint64_t,
+                       TimePoint) -> asio::awaitable<Outcome<OrderResult>> {
+    servers.Promote(endpoint);
+    co_return OrderResult::kAccepted;
+  };
+  ports.open_link = servers.Opener();
+  return ports;
+}
+
+FakeVm& FakeFleet::Add(const std::string& domain, const std::string& seeds) {
+  m_vms.push_back(std::make_unique<FakeVm>());
+  auto& vm = *m_vms.back();
+  HttpServerOptions options;
+  options.listen = *Address::Parse("127.0.0.1:0");
+  HttpServer::Handler handler = [&vm](HttpRequest request) -> asio::awaitable<HttpResponse> {
+    while (vm.frozen) {
+      co_await Sleep(Millis(20));
+    }
+    co_return co_await vm.gateway->HandlePeer(std::move(request));
+  };
+  vm.server = std::move(*HttpServer::Create(io, options, {std::move(handler), {}, {}}));
+  vm.settings.vm_id = fmt::format("vm-{}", m_vms.size() - 1);
+  vm.settings.domain = domain;
+  vm.settings.capacity_text = "1";
+  vm.settings.seeds = seeds;
+  vm.settings.direct_vms = m_direct_vms;
+  vm.settings.event_ring = 4096;
+  vm.settings.list_return_ms = 200;
+  vm.settings.stop_limit_ms = 3000;
+  vm.settings.listen_peers = vm.server->address().ToString();
+  vm.gateway = std::make_unique<Gateway>(io, vm.settings, Ports());
+  vm.gateway->Start();
+  return vm;
+}
+
+FakeVm* FakeFleet::Find(const std::string& vm_id) {
+  for (const auto& vm : m_vms) {
+    if (vm->settings.vm_id == vm_id) {
+      return vm.get();
+    }
+  }
+  return nullptr;
+}
+
+std::vector<FakeVm*> FakeFleet::Homes() {
+  std::vector<FakeVm*> homes;
+  for (const auto& vm : m_vms) {
+    if (!vm->Events(EventCode::kEndpointListed).empty()) {
+      homes.push_back(vm.get());
+    }
+  }
+  return homes;
+}
+
+std::vector<FakeVm*> FakeFleet::Others() {
+  std::vector<FakeVm*> others;
+  for (const auto& vm : m_vms) {
+    if (vm->Events(EventCode::kEndpointListed).empty()) {
+      others.push_back(vm.get());
+    }
+  }
+  return others;
+}
+
+void FakeFleet::Run(std::function<asio::awaitable<void>()> work) {
+  bool done = false;
+  Spawn(io, [&done, work = std::move(work)]() -> asio::awaitable<void> {
+    co_await work();
+    done = true;
+  });
+  RunUntil([&done] { return done; }, Millis(10'000));
+}
+
+bool FakeFleet::RunUntil(const std::function<bool()>& condition, Millis limit) {
+  const auto end = Clock::now() + limit;
+  io.restart();
+  while (!condition() && Clock::now() < end) {
+    io.run_for(Millis(5));
+  }
+  return condition();
+}
+
+std::vector<Reply> FakeFleet::Execute(FakeVm& vm, std::vector<Statement> statements) {
+  std::vector<Reply> replies;
+  Run([&]() -> asio::awaitable<void> {
+    const DatabaseName database{kDatabase};
+    auto opened = co_await vm.gateway->front().Open(database);
+    const auto session = std::get<std::shared_ptr<CallerSession>>(opened);
+    for (const auto& statement : statements) {
+      replies.push_back(co_await session->Execute(statement));
+    }
+    co_await vm.gateway->front().Close(session);
+  });
+  return replies;
+}
+
+void FakeFleet::Configure(std::uint64_t version, Millis timeout) {
+  table.Put("op", "config", fmt::format("{}:{}", version, timeout.count()));
+}
+
+}  // namespace cardamom::testing
--- /dev/null
+++ b/tests/unit/fleet_fakes.h
@@ -0,0 +1,63 @@
+// Several gateways in one process that speak to each other over loopback, before an in-memory group.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway.h"
+#include "gateway_fakes.h"
+#include "http/http_server.h"
+
+namespace cardamom::testing {
+
+// One proxy of the fleet.
+struct FakeVm {
+  GatewaySettings settings;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<Gateway> gateway;
+  // Takes requests of peers and never answers.
+  bool frozen = false;
+
+  // Events of `code` so far.
+  std::vector<Event> Events(EventCode code);
+};
+
+// Proxies before one group. With `direct_vms` below their number some are homes of the group.
+class FakeFleet {
+ public:
+  FakeFleet(std::size_t vms, std::size_t domains, std::int64_t direct_vms);
+  ~FakeFleet();
+
+  // Adds one more and starts it; `seeds` as in its settings.
+  FakeVm& Add(const std::string& domain, const std::string& seeds);
+
+  FakeVm& vm(std::size_t index) { return *m_vms[index]; }
+  std::size_t size() const { return m_vms.size(); }
+  FakeVm* Find(const std::string& vm_id);
+  // Proxies that hold the group's servers, and those that do not.
+  std::vector<FakeVm*> Homes();
+  std::vector<FakeVm*> Others();
+
+  // Runs `work` to its end, at most ten seconds.
+  void Run(std::function<asio::awaitable<void>()> work);
+  // Runs until `condition` holds, at most until `limit`; returns whether it held.
+  bool RunUntil(const std::function<bool()>& condition, Millis limit);
+  // Opens a session at `vm` and runs `statements` one after the other.
+  std::vector<Reply> Execute(FakeVm& vm, std::vector<Statement> statements);
+  // Writes a configuration whose version and statement timeout are given.
+  void Configure(std::uint64_t version, Millis timeout);
+
+  boost::asio::io_context io;
+  FakeGroup servers{3};
+  FakeTable table;
+  Millis transaction_idle{3000};
+
+ private:
+  GatewayPorts Ports();
+
+  const std::int64_t m_direct_vms;
+  std::vector<std::unique_ptr<FakeVm>> m_vms;
+};
+
+}  // namespace cardamom::testing
--- /dev/null
+++ b/tests/unit/fleet_test.cc
@@ -0,0 +1,307 @@
+// Proxies that act together: homes, forwarded statements, relays of the store's tables.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+#include "fleet/peer_codec.h"
+#include "fleet_fakes.h"
+#include "membership/home_plan.h"
+#include "membership/rendezvous.h"
+
+namespace cardamom::testing {
+namespace {
+
+std::size_t CountRuns(FakeFleet& fleet, const std::string& text) {
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < 3; ++i) {
+    for (const auto& ran : fleet.servers.server(i).ran) {
+      count += ran.find(text) != std::string::npos ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+// HOMES ---------------------------------------------------------------------------------------------
+
+RC_GTEST_PROP(HomePlanProperty, SharesNeverExceedWhatAServerTakes, ()) {
+  const auto connections = *rc::gen::inRange<std::size_t>(8, 500);
+  const auto vms = *rc::gen::inRange<std::size_t>(1, 2000);
+  const auto domains = *rc::gen::inRange<std::size_t>(1, 10);
+  const auto plan = PlanHomes(connections, vms, domains, HomePolicy());
+  RC_ASSERT(plan.homes >= 1U);
+  RC_ASSERT(plan.links >= 1U);
+  RC_ASSERT(plan.homes <= vms);
+  RC_ASSERT(plan.homes >= std::min(vms, domains));
+  if (plan.homes <= connections - HomePolicy().spare_connections) {
+    RC_ASSERT(plan.homes * plan.links <= connections - HomePolicy().spare_connections);
+  }
+}
+
+RC_GTEST_PROP(HomePlanProperty, AHomeThatGoesMovesNoOtherHomeOfItsGroup, ()) {
+  const auto count = *rc::gen::inRange<std::size_t>(4, 60);
+  std::vector<VmEntry> vms;
+  for (std::size_t i = 0; i < count; ++i) {
+    VmEntry vm;
+    vm.id = VmId(std::to_string(i));
+    vm.domain = FailureDomain(std::to_string(i % 3));
+    vm.capacity = *rc::gen::element(0.084, 0.17, 0.5);
+    vms.push_back(vm);
+  }
+  const auto before = HomeSet(vms, "home/g", 3);
+  const auto gone = before[*rc::gen::inRange<std::size_t>(0, before.size())];
+  std::erase_if(vms, [&](const VmEntry& vm) { return vm.id == gone.id; });
+  const auto after = HomeSet(vms, "home/g", 3);
+  std::set<std::string> ids;
+  for (const auto& vm : after) {
+    ids.insert(vm.id.value());
+  }
+  for (const auto& vm : before) {
+    RC_ASSERT(vm.id == gone.id || ids.contains(vm.id.value()));
+  }
+}
+
+TEST(RendezvousTest, AVmOfMoreCapacityIsAHomeOfMoreGroups) {
+  std::vector<VmEntry> vms(11);
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    vms[i].id = VmId(std::to_string(i));
+    vms[i].capacity = i == 0 ? 0.5 : 0.084;
+  }
+  int first = 0;
+  for (int group = 0; group < 200; ++group) {
+    first += RankVms(vms, std::to_string(group)).front().id == vms[0].id ? 1 : 0;
+  }
+  // Its part by the square of the capacity is 0.78.
+  EXPECT_GT(first, 130);
+  EXPECT_LT(first, 180);
+}
+
+TEST(FleetTest, ASmallFleetForwardsNothing) {
+  FakeFleet fleet(4, 2, 32);
+  EXPECT_TRUE(fleet.Others().empty());
+}
+
+TEST(FleetTest, OneHomeADomainHoldsTheLinks) {
+  FakeFleet fleet(8, 2, 1);
+  EXPECT_EQ(fleet.Homes().size(), 2U);
+  EXPECT_NE(fleet.Homes()[0]->settings.domain, fleet.Homes()[1]->settings.domain);
+}
+
+TEST(FleetTest, StatementsGoThroughTheHomeOfTheOwnDomain) {
+  FakeFleet fleet(8, 2, 1);
+  for (auto* vm : fleet.Others()) {
+    const auto id = vm->settings.vm_id;
+    const auto replies = fleet.Execute(*vm, {Write("w-" + id, "a"), Read("r-" + id, "a")});
+    ASSERT_EQ(replies.size(), 2U);
+    EXPECT_TRUE(replies[0].ok()) << replies[0].error->text;
+    EXPECT_TRUE(replies[1].ok()) << replies[1].error->text;
+    EXPECT_EQ(replies[1].signature, "signed");
+    for (const auto& event : vm->Events(EventCode::kStatementForwarded)) {
+      const auto detail = event.subject.detail;
+      const auto home = detail.substr(3, detail.find(':') - 3);
+      EXPECT_EQ(fleet.Find(home)->settings.domain, vm->settings.domain) << detail;
+    }
+  }
+  EXPECT_EQ(fleet.servers.acknowledged.size(), fleet.Others().size());
+}
+
+TEST(FleetTest, ATransactionThroughAHomeKeepsOneLinkAndItsEnd) {
+  FakeFleet fleet(6, 2, 1);
+  auto& vm = *fleet.Others().front();
+  const auto replies = fleet.Execute(
+      vm, {Of(StatementKind::kBegin, "b", "BEGIN"), Write("w1", "a"), Write("w2", "b"),
+           Of(StatementKind::kCommit, "c", "COMMIT"), Of(StatementKind::kBegin, "b2", "BEGIN"),
+           Write("w3", "c"), Of(StatementKind::kRollback, "rb", "ROLLBACK")});
+  for (const auto& reply : replies) {
+    EXPECT_TRUE(reply.ok()) << reply.error->text;
+  }
+  EXPECT_EQ(fleet.servers.acknowledged, (std::vector<std::string>{"w1", "w2"}));
+}
+
+TEST(FleetTest, ATransactionWhoseCallerLeftIsRolledBackAtTheHome) {
+  FakeFleet fleet(6, 2, 1);
+  auto& vm = *fleet.Others().front();
+  fleet.Execute(vm, {Of(StatementKind::kBegin, "b", "BEGIN"), Write("w1", "a")});
+  const auto again = fleet.Execute(vm, {Write("w2", "a")});
+  EXPECT_TRUE(again[0].ok());
+  EXPECT_EQ(fleet.servers.acknowledged, (std::vector<std::string>{"w2"}));
+}
+
+// Pattern: the home of a domain freezes while it has work.
+TEST(FleetTest, AReadAtAFrozenHomeIsAnsweredByAnotherInTime) {
+  FakeFleet fleet(8, 2, 1);
+  auto& vm = *fleet.Others().front();
+  ASSERT_TRUE(fleet.Execute(vm, {Read("r0", "a")})[0].ok());
+  for (auto* home : fleet.Homes()) {
+    home->frozen = home->settings.domain == vm.settings.domain;
+  }
+  const auto replies = fleet.Execute(vm, {Read("r1", "a"), Read("r2", "a"), Write("w1", "a")});
+  for (const auto& reply : replies) {
+    EXPECT_TRUE(reply.ok()) << reply.error->text;
+  }
+}
+
+TEST(FleetTest, AWriteAtAFrozenHomeIsNeverSentTwice) {
+  FakeFleet fleet(8, 2, 1);
+  auto& vm = *fleet.Others().front();
+  for (auto* home : fleet.Homes()) {
+    home->frozen = home->settings.domain == vm.settings.domain;
+  }
+  const auto replies = fleet.Execute(vm, {Write("w1", "a")});
+  ASSERT_FALSE(replies[0].ok());
+  EXPECT_EQ(replies[0].error->code, StatementError::kInDoubt);
+  for (auto* home : fleet.Homes()) {
+    home->frozen = false;
+  }
+  fleet.RunUntil([&] { return CountRuns(fleet, "w1") > 0; }, Millis(500));
+  EXPECT_LE(CountRuns(fleet, "w1"), 1U);
+}
+
+TEST(FleetTest, AHomeThatStopsHandsOverWithoutARefusal) {
+  FakeFleet fleet(8, 2, 1);
+  auto& vm = *fleet.Others().front();
+  FakeVm* home = nullptr;
+  for (auto* candidate : fleet.Homes()) {
+    home = candidate->settings.domain == vm.settings.domain ? candidate : home;
+  }
+  bool stopped = false;
+  home->gateway->Stop([] { return std::size_t(0); }, [&stopped] { stopped = true; });
+  for (int i = 0; i < 10; ++i) {
+    const auto replies = fleet.Execute(vm, {Write("w" + std::to_string(i), "a")});
+    EXPECT_TRUE(replies[0].ok()) << replies[0].error->text;
+  }
+  // Another proxy of the domain takes its place.
+  const auto replaced = [&] {
+    const auto homes = fleet.Homes();
+    return std::count_if(homes.begin(), homes.end(), [&](const FakeVm* other) {
+             return other != home && other->settings.domain == vm.settings.domain;
+           }) > 0;
+  };
+  EXPECT_TRUE(fleet.RunUntil(replaced, Millis(3000)));
+}
+
+TEST(FleetTest, ATransactionAtAHomeThatStoppedAnsweringIsAPromiseUntilItsCommit) {
+  FakeFleet fleet(8, 2, 1);
+  auto& vm = *fleet.Others().front();
+  std::vector<Reply> replies;
+  fleet.Run([&]() -> asio::awaitable<void> {
+    const DatabaseName database{"depot"};
+    auto opened = co_await vm.gateway->front().Open(database);
+    const auto session = std::get<std::shared_ptr<CallerSession>>(opened);
+    replies.push_back(co_await session->Execute(Of(StatementKind::kBegin, "b", "BEGIN")));
+    replies.push_back(co_await session->Execute(Write("w1", "a")));
+    for (auto* home : fleet.Homes()) {
+      home->frozen = true;
+    }
+    replies.push_back(co_await session->Execute(Write("w2", "a")));
+    co_await vm.gateway->front().Close(session);
+  });
+  ASSERT_EQ(replies.size(), 3U);
+  ASSERT_FALSE(replies[2].ok());
+  EXPECT_EQ(replies[2].error->code, StatementError::kAborted);
+  for (auto* home : fleet.Homes()) {
+    home->frozen = false;
+  }
+  fleet.RunUntil([] { return false; }, Millis(300));
+  EXPECT_TRUE(fleet.servers.acknowledged.empty());
+}
+
+// RELAYS --------------------------------------------------------------------------------------------
+
+TEST(RelayTest, AQuietFleetCostsTheStoreTheCallsOfItsRelays) {
+  FakeFleet fleet(12, 2, 1);
+  fleet.RunUntil([] { return false; }, Millis(500));
+  const auto before = fleet.table.calls;
+  fleet.RunUntil([] { return false; }, Millis(2000));
+  // Four relays with three tables each, a call every 5 s.
+  EXPECT_LE(fleet.table.calls - before, 12U);
+}
+
+TEST(RelayTest, AChangeReachesEveryProxyAlsoPastAFrozenRelay) {
+  FakeFleet fleet(12, 2, 1);
+  std::set<std::string> asked;
+  std::vector<VmEntry> members;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    VmEntry member;
+    member.id = VmId(fleet.vm(i).settings.vm_id);
+    member.domain = FailureDomain(fleet.vm(i).settings.domain);
+    members.push_back(member);
+  }
+  const auto relays = Relays(members, FailureDomain("domain-0"), 2);
+  fleet.Find(relays.front().id.value())->frozen = true;
+  fleet.Configure(2, Millis(900));
+  const auto adopted = [&] {
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      if (fleet.vm(i).Events(EventCode::kConfigAdopted).size() < 2) {
+        return false;
+      }
+    }
+    return true;
+  };
+  // The shortest bound that the users name for a change is 3 s.
+  EXPECT_TRUE(fleet.RunUntil(adopted, Millis(3000)));
+}
+
+TEST(RelayTest, AProxyThatStartsWhileTheStoreIsAwayLearnsFromPeers) {
+  FakeFleet fleet(4, 2, 32);
+  fleet.table.away = true;
+  auto& vm = fleet.Add("domain-0", fleet.vm(1).settings.listen_peers);
+  EXPECT_TRUE(fleet.RunUntil([&] { return vm.gateway->IsReady(); }, Millis(5000)));
+  EXPECT_TRUE(fleet.Execute(vm, {Write("w1", "a")})[0].ok());
+}
+
+// MESSAGES ------------------------------------------------------------------------------------------
+
+RC_GTEST_PROP(PeerCodecProperty, AStatementArrivesAsItWasSent, ()) {
+  Statement statement;
+  statement.id = RequestId(*rc::gen::string<std::string>());
+  statement.kind = StatementKind::kExecute;
+  statement.name = "n";
+  statement.value = "v";
+  statement.access = Access::kWrite;
+  CallerState caller;
+  caller.values["k"] = "value";
+  caller.prepared["n"] = {Access::kWrite, "shape"};
+  caller.committed = Position{Term(*rc::gen::inRange(1, 9)), LogIndex(7)};
+  caller.committed_in = GroupId("g");
+  Route route;
+  route.group = GroupId("g");
+  route.consistency = *rc::gen::element(Consistency::kPrimary, Consistency::kBoundedStaleness,
+                                        Consistency::kReadYourWrites);
+  route.max_staleness = Millis(*rc::gen::inRange(0, 5000));
+  const auto now = Clock::now();
+  const auto boot = BootClock::now();
+  const StatementTask task{statement, caller, route, now, boot, now + Millis(100)};
+  auto message = ToMessage(PeerOperation::kWrite, route.group, task);
+  message.left_ms = 80;
+  message.age_us = 3000;
+  // JSON text is UTF-8: an id of other bytes never gets this far, the front refuses it.
+  message.id = "id";
+  const auto decoded = Decode<PeerStatement>(Encode(message));
+  RC_ASSERT(decoded.has_value());
+  const auto in = FromMessage(*decoded, now, boot);
+  RC_ASSERT(in.has_value());
+  RC_ASSERT(in->operation == PeerOperation::kWrite);
+  RC_ASSERT(in->statement.value == statement.value);
+  RC_ASSERT(in->caller.values == caller.values);
+  RC_ASSERT(in->caller.prepared.at("n").shape == "shape");
+  RC_ASSERT(in->caller.committed == caller.committed);
+  RC_ASSERT(in->route.consistency == route.consistency);
+  RC_ASSERT(in->route.max_staleness == route.max_staleness);
+  RC_ASSERT(in->deadline - now == Millis(80));
+  RC_ASSERT(boot - in->first_byte == std::chrono::microseconds(3000));
+}
+
+TEST(PeerCodecTest, NumbersOutOfRangeAreRefused) {
+  for (const int bad : {-1, 99}) {
+    PeerStatement message;
+    message.kind = bad;
+    EXPECT_FALSE(FromMessage(message, Clock::now(), BootClock::now()));
+    message.kind = 0;
+    message.operation = bad;
+    EXPECT_FALSE(FromMessage(message, Clock::now(), BootClock::now()));
+  }
+}
+
+}  // namespace
+}  // namespace cardamom::testing
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -258,6 +258,7 @@
   TablePort port;
   port.read = [this](std::string table,
                      TimePoint /*deadline*/) -> asio::awaitable<Outcome<TableSnapshot>> {
+    ++calls;
     if (away) {
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
@@ -269,8 +270,30 @@
     }
     co_return snapshot;
   };
+  port.follow = [this](std::string table, std::uint64_t after,
+                       Millis wait) -> asio::awaitable<Outcome<TableSnapshot>> {
+    ++calls;
+    const auto deadline = Clock::now() + wait;
+    TableSnapshot changes;
+    while (!away && changes.rows.empty() && Clock::now() < deadline) {
+      for (const auto& [key, row] : m_tables[table]) {
+        if (row.version > after) {
+          changes.rows.push_back({key, row.value, row.version, false});
+        }
+      }
+      if (changes.rows.empty()) {
+        co_await Sleep(Millis(5));
+      }
+    }
+    if (away) {
+      co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
+    }
+    changes.version = m_version;
+    co_return changes;
+  };
   port.write = [this](TableWrite write,
                       TimePoint /*deadline*/) -> asio::awaitable<Outcome<TableWriteResult>> {
+    ++calls;
     if (away) {
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -80,6 +80,8 @@
 
   bool away = false;
   std::int64_t now_ms = 100'000;
+  // Calls of any kind, answered or not.
+  std::size_t calls = 0;
 
  private:
   struct Row {
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -131,12 +131,28 @@
   EXPECT_EQ(list.Entries().size(), 1U);
 }
 
-TEST(ServerListTest, WithoutAnOutageAMissingEntryIsGoneAtOnce) {
+TEST(ServerListTest, AnEntryThatAnnouncedToLeaveIsGoneAtOnce) {
+  ServerList list(Millis(2200));
+  const TimePoint now = Clock::now();
+  auto leaving = Entry("b");
+  leaving.leaving = true;
+  list.OnEntries({Entry("a"), leaving}, now);
+  list.OnEntries({Entry("a")}, now + Millis(10));
+  EXPECT_EQ(list.Entries().size(), 1U);
+}
+
+// Pattern: who follows the list by its feed hears of entries that lapsed in an outage as of any others.
+TEST(ServerListTest, AnEntryThatLapsedInAnUnnoticedOutageStaysForTheReturnTimeAndNoLonger) {
   ServerList list(Millis(2200));
   const TimePoint now = Clock::now();
   list.OnEntries({Entry("a"), Entry("b")}, now);
   list.OnEntries({Entry("a")}, now + Millis(10));
+  EXPECT_EQ(list.Entries().size(), 2U);
+  list.OnEntries({Entry("a")}, now + Millis(2000));
+  EXPECT_EQ(list.Entries().size(), 2U);
+  list.OnEntries({Entry("a")}, now + Millis(2211));
   EXPECT_EQ(list.Entries().size(), 1U);
+  EXPECT_FALSE(list.KeepsMissing());
 }
 
 Checked<GatewaySettings> ReadSettingsOf(std::vector<std::string> arguments) {
--- a/tests/unit/statement_runner_test.cc
+++ b/tests/unit/statement_runner_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "async/notifier.h"
 #include "gateway_fakes.h"
 
 namespace cardamom::testing {
@@ -197,5 +198,22 @@
   EXPECT_EQ(m_servers.acknowledged, (std::vector<std::string>{"x1"}));
 }
 
+// Pattern: a leaving primary for which no safe successor is found keeps its callers until its end.
+TEST_F(StatementRunnerTest, APrimaryThatHasBeenLeavingForTooLongGetsNoStatement) {
+  m_gateway.settings.drain_ms = 2200;
+  ASSERT_TRUE(RunWrite("w1").ok());
+  m_servers.server(0).entry.leaving = true;
+  GroupSettings settings;
+  m_gateway.group->Update(m_servers.Entries(), settings);
+  EXPECT_TRUE(RunWrite("w2").ok());
+  m_gateway.Run([]() -> asio::awaitable<void> { co_await Sleep(Millis(220)); });
+  const auto refused = RunWrite("w3");
+  ASSERT_FALSE(refused.ok());
+  EXPECT_EQ(refused.error->code, StatementError::kBusy);
+  EXPECT_EQ(Ran(0, "w3"), 0U);
+  EXPECT_FALSE(RunRead("r1", Consistency::kPrimary).ok());
+  EXPECT_TRUE(RunRead("r2", Consistency::kBoundedStaleness).ok());
+}
+
 }  // namespace
 }  // namespace cardamom::testing
