Admission to each endpoint at its home; links are opened one at a time

Each new link takes a slot for 27 ms; twelve homes with up to 23 links a server opened them all at once. Ruled out: late starts (all proxies are ready 0.4 s after their start), unreachable homes (51 refusals). Change: a pool opens its first link at once and another only for a statement that has waited 40 ms, one at a time. Statements in progress at a server are bounded by the gate of the product's own interface (moved to src/pool); a server that is busy shrinks the limit and is asked again twice after a short pause. Waiting for a turn at this proxy is no longer taken for the server's word that it is full, which had held up takeovers.

--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "directory/endpoint_entry.h"
+#include "pool/endpoint_gate.h"
 #include "pool/link_pool.h"
 #include "routing/server_choice.h"
 
@@ -12,11 +13,19 @@
 
 // Not thread safe: all use is on the thread of the context.
 struct Endpoint {
-  Endpoint(EndpointEntry listed, std::shared_ptr<LinkPool> links, Duration base_latency)
-      : entry(std::move(listed)), pool(std::move(links)), latency(base_latency) {}
+  Endpoint(EndpointEntry listed,
+           std::shared_ptr<LinkPool> links,
+           std::shared_ptr<EndpointGate> admission,
+           Duration base_latency)
+      : entry(std::move(listed)),
+        pool(std::move(links)),
+        gate(std::move(admission)),
+        latency(base_latency) {}
 
   EndpointEntry entry;
   std::shared_ptr<LinkPool> pool;
+  // Bounds the statements in progress; those of open transactions pass it by.
+  std::shared_ptr<EndpointGate> gate;
   LatencyEstimate latency;
   // Statements of this proxy in progress here.
   std::size_t outstanding = 0;
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -30,6 +30,14 @@
 constexpr Millis kBaseWork{30};
 constexpr Millis kBaseSameDomain{1};
 constexpr Millis kBaseOtherDomain{12};
+// Statements in progress at a server, per slot, over all homes of its group.
+constexpr std::size_t kWorkPerSlot = 4;
+constexpr std::size_t kLeastInProgress = 2;
+// An answer that takes longer has waited in the server's own queue.
+constexpr Millis kQueuedLatency{300};
+// Statements that wait at one home for one server, and for how long a read may.
+constexpr std::size_t kQueueCapacity = 200;
+constexpr Millis kLongestQueueing{3000};
 // Margin over the estimated lag below which a replica is not asked.
 constexpr Millis kLagMargin{20};
 // Part of the time to drain in which the news of a leaving server spreads and statements get there.
@@ -58,8 +66,9 @@
   return std::max<std::size_t>(1, m_share);
 }
 
-void GroupClient::SetShare(std::size_t share) {
+void GroupClient::SetShare(std::size_t share, std::size_t homes) {
   m_share = share;
+  m_homes = std::max<std::size_t>(1, homes);
   for (const auto& [id, endpoint] : m_endpoints) {
     endpoint->pool->SetMax(LinkLimit());
   }
@@ -69,8 +78,16 @@
   const bool near = entry.domain.value() == m_context.settings.domain;
   const auto pool =
       std::make_shared<LinkPool>(m_context.io, entry, m_context.open_link, LinkLimit());
+  ConcurrencyLimit::Options limit;
+  limit.least = 1;
+  limit.most = std::max<std::size_t>(kLeastInProgress, LinkLimit());
+  // All homes together keep the slots of a server busy and fill a part of its queue.
+  limit.initial = std::clamp(kWorkPerSlot * static_cast<std::size_t>(entry.slots) / m_homes,
+                             kLeastInProgress, limit.most);
+  limit.tolerated_latency = kQueuedLatency;
+  const auto gate = std::make_shared<EndpointGate>(limit, kQueueCapacity, kLongestQueueing);
   const auto endpoint = std::make_shared<Endpoint>(
-      entry, pool, kBaseWork + (near ? kBaseSameDomain : kBaseOtherDomain));
+      entry, pool, gate, kBaseWork + (near ? kBaseSameDomain : kBaseOtherDomain));
   m_endpoints[entry.id] = endpoint;
   m_context.events.Emit(EventCode::kEndpointListed,
                         {.group = m_id, .endpoint = entry.id, .detail = entry.address});
@@ -212,7 +229,7 @@
     option.fresh = position &&
                    (lag == Duration::zero() || (covered && boot_now - *covered > lag + kLagMargin));
     option.expected = endpoint->latency.Expect(now);
-    option.outstanding = endpoint->outstanding + endpoint->pool->waiting();
+    option.outstanding = endpoint->outstanding;
     options.push_back(option);
   }
   std::vector<EndpointPtr> servers;
@@ -445,6 +462,10 @@
 
 void GroupClient::OnLinkFailure(const EndpointPtr& endpoint, const Error& error) {
   const auto now = Clock::now();
+  if (error.code == ResultCode::kDeadlineExpired) {
+    // It waited for its turn at this proxy, which says nothing of the server.
+    return;
+  }
   if (error.code == ResultCode::kOverloaded) {
     m_limit_seen = now;
     return;
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -49,8 +49,8 @@
 
   // Takes the newest list of the group's servers and its settings.
   void Update(const std::vector<EndpointEntry>& entries, const GroupSettings& settings);
-  // Changes the number of links that this proxy may hold to each server.
-  void SetShare(std::size_t share);
+  // Changes the number of links that this proxy, one of `homes`, may hold to each server.
+  void SetShare(std::size_t share, std::size_t homes = 1);
 
   // Starts the watch over the primary.
   void Start();
@@ -135,6 +135,7 @@
   GatewayContext& m_context;
   const GroupId m_id;
   GroupSettings m_settings;
+  std::size_t m_homes = 1;
   std::size_t m_share = 2;
   std::map<EndpointId, EndpointPtr> m_endpoints;
   std::vector<DepartedServer> m_departed;
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "async/notifier.h"
 #include "async/spawn.h"
 
 namespace cardamom {
@@ -17,6 +18,9 @@
 constexpr double kPrimaryWaitPart = 0.6;
 constexpr int kMaxAttempts = 4;
 constexpr Millis kRollbackTimeout{300};
+// Pause before a server that had its queue full is asked again, times the attempts so far.
+constexpr Millis kBusyPause{30};
+constexpr int kMostBusy = 2;
 // A commit without an answer for this long counts as overdue.
 constexpr Millis kCommitOverdue{600};
 // Pause that a refused caller is told to make.
@@ -52,6 +56,8 @@
   End end = End::kNotRun;
   Reply reply;
   std::string reason;
+  // The server had its queue full.
+  bool busy = false;
 };
 
 asio::awaitable<std::optional<Position>> StatementRunner::NeededPosition(
@@ -76,6 +82,14 @@
                                                                   TimePoint deadline) {
   Attempt attempt;
   const OutstandingCount counted(endpoint);
+  // What only the primary can answer goes before what a replica may.
+  const auto priority =
+      task.route.consistency == Consistency::kPrimary ? Priority::kWrite : Priority::kRead;
+  auto pass = co_await endpoint->gate->Enter(priority, deadline);
+  if (!pass) {
+    attempt.reason = pass.error().detail;
+    co_return attempt;
+  }
   auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, deadline);
   if (!lease) {
     attempt.reason = lease.error().detail;
@@ -132,6 +146,7 @@
     lease->Discard();
   }
   if (reply.ok()) {
+    pass->Succeeded();
     endpoint->latency.OnAnswer(now - sent_at, now);
     if (!at_primary && reply.position) {
       group.OnReplicaAnswer(endpoint, *reply.position);
@@ -149,6 +164,10 @@
   } else if (reply.error->code == StatementError::kUnknownStatement) {
     lease->Discard();
   } else {
+    if (reply.error->code == StatementError::kBusy) {
+      pass->Overloaded();
+      attempt.busy = true;
+    }
     endpoint->latency.OnFailure(Millis(200), now);
   }
   co_return attempt;
@@ -192,7 +211,12 @@
       co_return attempt.reply;
     }
     reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
-    if (needed) {
+    if (attempt.busy && is_last) {
+      if (i >= kMostBusy) {
+        break;
+      }
+      co_await Sleep(kBusyPause * (i + 1));
+    } else if (needed) {
       tried.push_back(endpoint->entry.id);
     }
   }
@@ -205,6 +229,11 @@
     const StatementTask& task) {
   Attempt attempt;
   const OutstandingCount counted(endpoint);
+  auto pass = co_await endpoint->gate->Enter(Priority::kWrite, PartOf(task, kPrimaryWaitPart));
+  if (!pass) {
+    attempt.reason = pass.error().detail;
+    co_return attempt;
+  }
   auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement,
                                                 PartOf(task, kPrimaryWaitPart));
   if (!lease) {
@@ -248,10 +277,14 @@
       group.OnLostLead(endpoint);
     } else if (reply.error->code == StatementError::kUnknownStatement) {
       lease->Discard();
+    } else if (reply.error->code == StatementError::kBusy) {
+      pass->Overloaded();
+      attempt.busy = true;
     }
     co_return attempt;
   }
   if (reply.ok() && reply.position) {
+    pass->Succeeded();
     endpoint->latency.OnAnswer(now - sent_at, now);
     group.OnPrimaryAnswer(endpoint, asked_at, *reply.position);
   }
@@ -281,7 +314,13 @@
         reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
         break;
     }
-    if (attempt.reason == ToString(StatementError::kBusy)) {
+    if (attempt.busy) {
+      if (i >= kMostBusy) {
+        break;
+      }
+      co_await Sleep(kBusyPause * (i + 1));
+    }
+    if (Clock::now() >= PartOf(task, kPrimaryWaitPart)) {
       break;
     }
   }
@@ -350,6 +389,11 @@
                                                                   TimePoint deadline,
                                                                   TransactionPin& pin) {
   Attempt attempt;
+  auto pass = co_await endpoint->gate->Enter(Priority::kWrite, deadline);
+  if (!pass) {
+    attempt.reason = pass.error().detail;
+    co_return attempt;
+  }
   auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, deadline);
   if (!lease) {
     attempt.reason = lease.error().detail;
@@ -376,7 +420,13 @@
   first.main_at = first.requests.size();
   first.requests.push_back(ToRequest(task.statement, task.caller));
   pin.wrote = AccessOf(task.statement, task.caller) == Access::kWrite;
-  co_return co_await RunBatch(task, std::move(first), pin);
+  attempt = co_await RunBatch(task, std::move(first), pin);
+  if (attempt.end == Attempt::End::kAnswered && !attempt.reply.ok() &&
+      attempt.reply.error->code == StatementError::kBusy) {
+    pass->Overloaded();
+    attempt.busy = true;
+  }
+  co_return attempt;
 }
 
 asio::awaitable<Reply> StatementRunner::RunFirst(std::shared_ptr<GroupClient> group,
@@ -423,7 +473,13 @@
       co_await Rollback(pin);
     }
     reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
-    if (needed) {
+    if (attempt.busy && !needed) {
+      // It was refused unrun, and its transaction is rolled back: it may begin anew.
+      if (i >= kMostBusy) {
+        break;
+      }
+      co_await Sleep(kBusyPause * (i + 1));
+    } else if (needed) {
       tried.push_back(endpoint->entry.id);
     } else if (attempt.end != Attempt::End::kNotRun) {
       break;
--- a/src/proxy/endpoint_gate.cc
+++ b/src/pool/endpoint_gate.cc
@@ -1,4 +1,4 @@
-#include "proxy/endpoint_gate.h"
+#include "pool/endpoint_gate.h"
 
 #include <utility>
 #include <vector>
--- a/src/pool/link_pool.cc
+++ b/src/pool/link_pool.cc
@@ -7,6 +7,12 @@
 #include <boost/asio/use_awaitable.hpp>
 
 namespace cardamom {
+namespace {
+
+// A link comes free within the time of a statement; who has waited for this long opens one.
+constexpr Millis kOpenAfter{40};
+
+}  // namespace
 
 LinkPool::Lease::Lease(std::shared_ptr<LinkPool> pool, std::unique_ptr<PooledLink> link)
     : m_pool(std::move(pool)), m_link(std::move(link)) {}
@@ -72,20 +78,25 @@
   if (auto idle = TakeIdle(values)) {
     co_return Lease(shared_from_this(), std::move(idle));
   }
-  const auto limit = use == LinkUse::kControl ? m_max + 1 : m_max;
-  if (m_open < limit) {
+  if (use == LinkUse::kControl) {
+    if (m_open > m_max) {
+      co_return Error{ResultCode::kDeadlineExpired, "no link is free", Ran::kNo};
+    }
     ++m_open;
     co_return co_await Open(deadline);
   }
-  if (use == LinkUse::kControl) {
-    co_return Error{ResultCode::kOverloaded, "no link is free", Ran::kNo};
+  if (m_open == 0 && m_max > 0) {
+    ++m_open;
+    co_return co_await Open(deadline);
   }
   co_return co_await Wait(deadline);
 }
 
 asio::awaitable<Outcome<LinkPool::Lease>> LinkPool::Open(TimePoint deadline) {
   const auto self = shared_from_this();
+  ++m_opening;
   auto link = co_await m_opener(m_entry, deadline);
+  --m_opening;
   if (!link) {
     --m_open;
     OnClosed();
@@ -100,8 +111,15 @@
   const auto self = shared_from_this();
   const auto waiter = std::make_shared<Waiter>(m_context);
   m_waiters.push_back(waiter);
-  waiter->timer.expires_at(deadline);
-  co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  while (!waiter->link && !waiter->may_open && !waiter->refused && Clock::now() < deadline) {
+    waiter->timer.expires_at(std::min(deadline, Clock::now() + kOpenAfter));
+    const auto [woken] = co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    const bool decided = waiter->link || waiter->may_open || waiter->refused;
+    if (!woken && !decided && !m_retired && m_opening == 0 && m_open < m_max) {
+      ++m_open;
+      waiter->may_open = true;
+    }
+  }
   m_waiters.remove(waiter);
   if (waiter->link) {
     co_return Lease(self, std::move(waiter->link));
@@ -109,8 +127,8 @@
   if (waiter->may_open) {
     co_return co_await Open(deadline);
   }
-  co_return Error{ResultCode::kOverloaded, waiter->refused ? "the server left" : "no link is free",
-                  Ran::kNo};
+  co_return Error{ResultCode::kDeadlineExpired,
+                  waiter->refused ? "the server left" : "no link is free", Ran::kNo};
 }
 
 asio::awaitable<void> LinkPool::Warm(std::size_t count, TimePoint deadline) {
--- a/src/pool/link_pool.h
+++ b/src/pool/link_pool.h
@@ -58,9 +58,10 @@
            LinkOpener opener,
            std::size_t max_links);
 
-  // Takes an idle link, one with the same `values` first; else opens one while the share allows
-  // it; else waits for one. Errors: as LinkOpener, and kOverloaded when none came free in time;
-  // always with Ran::kNo.
+  // Takes an idle link, one with the same `values` first; else waits for one, and after a while opens
+  // one if the share allows it: a new link costs the server a slot, so that a wave of work must not
+  // open links all at once. The first link is opened without a wait. Errors: as LinkOpener, and
+  // kDeadlineExpired when none came free in time; always with Ran::kNo.
   asio::awaitable<Outcome<Lease>> Acquire(SessionValues values, LinkUse use, TimePoint deadline);
 
   // Opens links until `count` are open.
@@ -78,7 +79,7 @@
   std::size_t open() const { return m_open; }
   std::size_t leased() const { return m_open - m_idle.size(); }
   // Whether Acquire would not have to wait.
-  bool HasRoom() const { return !m_idle.empty() || m_open < m_max; }
+  bool HasRoom() const { return !m_idle.empty() || m_open == 0; }
   std::size_t waiting() const { return m_waiters.size(); }
 
  private:
@@ -105,6 +106,7 @@
   std::size_t m_max;
   // Links in use or idle, and those being opened.
   std::size_t m_open = 0;
+  std::size_t m_opening = 0;
   bool m_retired = false;
   std::vector<std::unique_ptr<PooledLink>> m_idle;
   std::list<std::shared_ptr<Waiter>> m_waiters;
