A statement is not sent so late that its answer would come after the deadline

Ruled out: silent servers (the same servers answered others at that time). Change: a statement waits for its turn until its deadline less twice the time that the server is expected to take, at most 0.4 of its time; later it is refused as not run.

--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -21,6 +21,10 @@
 // Pause before a server that had its queue full is asked again, times the attempts so far.
 constexpr Millis kBusyPause{30};
 constexpr int kMostBusy = 2;
+// A statement is not sent so late that its answer, at the time that the server is expected to take,
+// would come after the deadline; at most this part of its time is set aside for that.
+constexpr double kMostReserved = 0.4;
+constexpr int kReserveFactor = 2;
 // A commit without an answer for this long counts as overdue.
 constexpr Millis kCommitOverdue{600};
 // Pause that a refused caller is told to make.
@@ -37,6 +41,14 @@
   return std::min(task.deadline, task.received + span);
 }
 
+// Until when a statement may wait for its turn at `endpoint`.
+TimePoint LatestStart(const StatementTask& task, const Endpoint& endpoint, TimePoint deadline) {
+  const auto expected = endpoint.latency.Expect(Clock::now()) * kReserveFactor;
+  const auto most =
+      std::chrono::duration_cast<Duration>((task.deadline - task.received) * kMostReserved);
+  return std::min(deadline, task.deadline - std::min(expected, most));
+}
+
 std::string ToText(const std::optional<Position>& position) {
   return position ? fmt::format("{}.{}", position->term.value(), position->index.value()) : "-";
 }
@@ -85,12 +97,13 @@
   // What only the primary can answer goes before what a replica may.
   const auto priority =
       task.route.consistency == Consistency::kPrimary ? Priority::kWrite : Priority::kRead;
-  auto pass = co_await endpoint->gate->Enter(priority, deadline);
+  const auto latest = LatestStart(task, *endpoint, deadline);
+  auto pass = co_await endpoint->gate->Enter(priority, latest);
   if (!pass) {
     attempt.reason = pass.error().detail;
     co_return attempt;
   }
-  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, deadline);
+  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, latest);
   if (!lease) {
     attempt.reason = lease.error().detail;
     group.OnLinkFailure(endpoint, lease.error());
