A relay that the store does not answer is found out within the time that a configuration has

Cause: the store left the calls of 35% of the VMs unanswered, both relays of a failure domain among them; a relay waited 5 s for changes and 1.5 s for the answer, and told its followers meanwhile that nothing had changed. Ruled out: a regression within a process (versions only grow), a frozen relay (none was).

--- a/src/fleet/relayed_table.cc
+++ b/src/fleet/relayed_table.cc
@@ -12,7 +12,7 @@
 namespace cardamom {
 namespace {
 
-// Longest wait for changes in one call to the store: a store that swallows calls is found by it.
+// Longest wait for changes of a table for which nothing else is said.
 constexpr Millis kStoreWait{5000};
 // Longest wait at a relay, and the time in which its answer then has to come: a change reaches every
 // proxy within two turns.
@@ -52,9 +52,19 @@
 
 RelayedTable::RelayedTable(GatewayContext& context,
                            TablePort table,
+                           std::map<std::string, Millis> waits,
                            const Fleet& fleet,
                            HomeClient& peers)
-    : m_context(context), m_table(std::move(table)), m_fleet(fleet), m_peers(peers) {}
+    : m_context(context),
+      m_table(std::move(table)),
+      m_waits(std::move(waits)),
+      m_fleet(fleet),
+      m_peers(peers) {}
+
+Millis RelayedTable::StoreWait(const std::string& table) const {
+  const auto it = m_waits.find(table);
+  return it == m_waits.end() ? kStoreWait : it->second;
+}
 
 TablePort RelayedTable::Port() {
   TablePort port;
@@ -183,7 +193,7 @@
     }
     wait = std::min(wait, kRelayWait);
   }
-  auto answer = co_await m_table.follow(table, after, std::min(wait, kStoreWait));
+  auto answer = co_await m_table.follow(table, after, std::min(wait, StoreWait(table)));
   m_from_store[table] = answer.has_value();
   co_return answer;
 }
--- a/src/fleet/relayed_table.h
+++ b/src/fleet/relayed_table.h
@@ -14,8 +14,14 @@
 // themselves where no relay answers. Not thread safe: all use is on the thread of the context.
 class RelayedTable {
  public:
-  // `table` reaches the store. The references outlive the object.
-  RelayedTable(GatewayContext& context, TablePort table, const Fleet& fleet, HomeClient& peers);
+  // `table` reaches the store. `waits` says for how long at most one call to the store waits for
+  // changes of a table: a store that takes a relay's calls and answers none is found out by then. The
+  // references outlive the object.
+  RelayedTable(GatewayContext& context,
+               TablePort table,
+               std::map<std::string, Millis> waits,
+               const Fleet& fleet,
+               HomeClient& peers);
 
   // Hooks that read and follow; they do not write.
   TablePort Port();
@@ -36,9 +42,11 @@
                                               PeerTableRequest request,
                                               TimePoint deadline);
   asio::awaitable<bool> WaitUntilSettled(TimePoint deadline);
+  Millis StoreWait(const std::string& table) const;
 
   GatewayContext& m_context;
   const TablePort m_table;
+  const std::map<std::string, Millis> m_waits;
   const Fleet& m_fleet;
   HomeClient& m_peers;
   std::size_t m_turn = 0;
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -32,6 +32,8 @@
            "Time between two readings of the endpoint list."},
     Number{"list-return-ms", &S::list_return_ms, 2200, 0, 600'000, "ms",
            "Time after an outage of the store for which missing endpoints are kept."},
+    Number{"config-apply-ms", &S::config_apply_ms, 3000, 500, 3'600'000, "ms",
+           "Time within which an accepted configuration is in force."},
     Number{"direct-vms", &S::direct_vms, 32, 1, 100'000, "VMs",
            "Up to so many proxies hold connections of their own; a larger fleet has homes."},
 };
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -35,6 +35,7 @@
   std::int64_t list_poll_ms = 0;
   std::int64_t list_return_ms = 0;
   std::int64_t direct_vms = 32;
+  std::int64_t config_apply_ms = 3000;
 
   // Processor share of this VM. Precondition: the settings were checked.
   double capacity() const;
