Tests of waves of work at a pool and at a primary; formatting; an unused constant

Patterns named by the tests: all proxies come back at once (AWaveOfWorkOpensItsLinksOneAtATime), resting transactions hold every link, a primary with more work than slots (AStatementThatCannotBeAnsweredInTimeIsRefusedUnsent).

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -41,8 +41,7 @@
 asio::awaitable<void> Fleet::Settle() {
   // A proxy whose row of an earlier life is there joins a fleet that runs.
   const std::function<bool()> settled = [this] {
-    return m_follower.IsKnown() &&
-           (m_was_listed || Clock::now() - m_changed_at >= kSettleTime);
+    return m_follower.IsKnown() && (m_was_listed || Clock::now() - m_changed_at >= kSettleTime);
   };
   while (!settled()) {
     co_await Sleep(kSettlePoll);
@@ -65,8 +64,8 @@
 void Fleet::RegisterIfNeeded() {
   const auto row = m_follower.rows().find(m_self.id.value());
   const bool listed = row != m_follower.rows().end() && row->second.value == Encode(m_self);
-  // A row that an earlier life of this process left is as good as a new one; a write that was late may
-  // have marked it.
+  // A row that an earlier life of this process left is as good as a new one; a write that was late
+  // may have marked it.
   if (listed || m_leaving || m_registering) {
     return;
   }
@@ -143,7 +142,7 @@
 }
 
 int Fleet::DistanceTo(const VmEntry& vm) const {
-  return vm.id == m_self.id         ? 0
+  return vm.id == m_self.id           ? 0
          : vm.domain == m_self.domain ? 1
          : vm.region == m_self.region ? 2
                                       : 3;
@@ -161,9 +160,8 @@
                            [this](const VmEntry& vm) { return vm.id == m_self.id; });
   // Proxies of one distance spread over its homes.
   homes.vms = RankVms(homes.vms, m_self.id.value());
-  std::stable_sort(homes.vms.begin(), homes.vms.end(), [this](const auto& a, const auto& b) {
-    return DistanceTo(a) < DistanceTo(b);
-  });
+  std::stable_sort(homes.vms.begin(), homes.vms.end(),
+                   [this](const auto& a, const auto& b) { return DistanceTo(a) < DistanceTo(b); });
   return homes;
 }
 
@@ -186,9 +184,8 @@
 
 bool Fleet::IsRelay() const {
   const auto relays = Relays();
-  return relays.empty() || std::any_of(relays.begin(), relays.end(), [this](const VmEntry& vm) {
-           return vm.id == m_self.id;
-         });
+  return relays.empty() || std::any_of(relays.begin(), relays.end(),
+                                       [this](const VmEntry& vm) { return vm.id == m_self.id; });
 }
 
 }  // namespace cardamom
--- a/src/fleet/home_client.cc
+++ b/src/fleet/home_client.cc
@@ -152,9 +152,7 @@
   result.home = home;
   const auto* vm = m_fleet.Find(home);
   const auto known = m_peers.find(home);
-  const auto peer = vm != nullptr              ? PeerOf(*vm)
-                    : known != m_peers.end() ? known->second
-                                               : nullptr;
+  const auto peer = vm != nullptr ? PeerOf(*vm) : known != m_peers.end() ? known->second : nullptr;
   if (!peer) {
     result.reason = "no such proxy";
     co_return result;
@@ -256,9 +254,8 @@
     }
     tried.push_back(home->id.value());
     result = co_await CallHome(home->id.value(), message, times, may_repeat);
-    const bool again =
-        result.end == ForwardResult::End::kNotRun ||
-        (result.end == ForwardResult::End::kUnknown && may_repeat);
+    const bool again = result.end == ForwardResult::End::kNotRun ||
+                       (result.end == ForwardResult::End::kUnknown && may_repeat);
     if (!again) {
       break;
     }
--- a/src/fleet/peer_codec.h
+++ b/src/fleet/peer_codec.h
@@ -20,13 +20,13 @@
   TimePoint deadline;
 
   // Refers to this object.
-  StatementTask Task() const {
-    return {statement, caller, route, received, first_byte, deadline};
-  }
+  StatementTask Task() const { return {statement, caller, route, received, first_byte, deadline}; }
 };
 
 // Errors: kBadField for numbers out of range. Pure and thread safe.
-Outcome<ReceivedStatement> FromMessage(const PeerStatement& message, TimePoint now, BootTime boot_now);
+Outcome<ReceivedStatement> FromMessage(const PeerStatement& message,
+                                       TimePoint now,
+                                       BootTime boot_now);
 
 PeerReply ToMessage(const Reply& reply);
 Reply FromMessage(PeerReply message);
--- a/src/fleet/peer_service.cc
+++ b/src/fleet/peer_service.cc
@@ -11,7 +11,6 @@
 namespace cardamom {
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -156,9 +155,9 @@
   }
   if (place == m_held.end() || place->second->busy) {
     // What this process does not hold was rolled back when its link closed.
-    co_return ToMessage(ErrorReply(StatementError::kAborted, "the transaction is rolled back",
-                                   in.operation == PeerOperation::kNext ? SessionState::kFailed
-                                                                        : SessionState::kIdle));
+    co_return ToMessage(ErrorReply(
+        StatementError::kAborted, "the transaction is rolled back",
+        in.operation == PeerOperation::kNext ? SessionState::kFailed : SessionState::kIdle));
   }
   const auto held = place->second;
   const auto task = in.Task();
@@ -203,12 +202,11 @@
     return ends;
   });
   for (const auto& held : expired) {
-    m_context.events.Emit(
-        EventCode::kTransactionAbandoned,
-        {.group = held->transaction->group(),
-         .endpoint = EndpointId(held->transaction->place()),
-         .detail = fmt::format("held for another proxy, idle for {} ms",
-                               ToMillis(now - held->last_used).count())});
+    m_context.events.Emit(EventCode::kTransactionAbandoned,
+                          {.group = held->transaction->group(),
+                           .endpoint = EndpointId(held->transaction->place()),
+                           .detail = fmt::format("held for another proxy, idle for {} ms",
+                                                 ToMillis(now - held->last_used).count())});
     Spawn(m_context.io,
           [held]() -> asio::awaitable<void> { co_await held->transaction->Rollback(); });
   }
--- a/src/fleet/peer_service.h
+++ b/src/fleet/peer_service.h
@@ -1,4 +1,5 @@
-// Answers other proxies: statements for groups of which this proxy is a home, and tables it follows.
+// Answers other proxies: statements for groups of which this proxy is a home, and tables it
+// follows.
 #pragma once
 
 #include <functional>
--- a/src/fleet/relayed_table.cc
+++ b/src/fleet/relayed_table.cc
@@ -14,8 +14,8 @@
 
 // Longest wait for changes of a table for which nothing else is said.
 constexpr Millis kStoreWait{5000};
-// Longest wait at a relay, and the time in which its answer then has to come: a change reaches every
-// proxy within two turns.
+// Longest wait at a relay, and the time in which its answer then has to come: a change reaches
+// every proxy within two turns.
 constexpr Millis kRelayWait{1300};
 constexpr Millis kRelaySlack{400};
 constexpr Millis kRelayReadTimeout{500};
--- a/src/fleet/relayed_table.h
+++ b/src/fleet/relayed_table.h
@@ -15,8 +15,8 @@
 class RelayedTable {
  public:
   // `table` reaches the store. `waits` says for how long at most one call to the store waits for
-  // changes of a table: a store that takes a relay's calls and answers none is found out by then. The
-  // references outlive the object.
+  // changes of a table: a store that takes a relay's calls and answers none is found out by then.
+  // The references outlive the object.
   RelayedTable(GatewayContext& context,
                TablePort table,
                std::map<std::string, Millis> waits,
--- a/src/fleet/remote_path.cc
+++ b/src/fleet/remote_path.cc
@@ -34,21 +34,20 @@
          const StatementTask& task,
          const ForwardResult& result) {
   const auto taken = Clock::now() - task.received;
-  context.events.Emit(
-      EventCode::kStatementForwarded,
-      {.group = group,
-       .request = task.statement.id.value(),
-       .detail = fmt::format("to {}: {}{}{} in {} ms", result.home, NameOf(result.end),
-                             result.reason.empty() ? "" : ", ", result.reason,
-                             ToMillis(taken).count())});
+  context.events.Emit(EventCode::kStatementForwarded,
+                      {.group = group,
+                       .request = task.statement.id.value(),
+                       .detail = fmt::format("to {}: {}{}{} in {} ms", result.home,
+                                             NameOf(result.end), result.reason.empty() ? "" : ", ",
+                                             result.reason, ToMillis(taken).count())});
   if (result.end != End::kAnswered) {
     context.metrics.CountStatement(result.end == End::kNotRun ? "refused" : "unknown", taken);
   }
 }
 
 Reply Refusal(StatementError code, const ForwardResult& result, SessionState state) {
-  return ErrorReply(code,
-                    fmt::format("{}; retry after {} ms", result.reason, kRetryHint.count()), state);
+  return ErrorReply(code, fmt::format("{}; retry after {} ms", result.reason, kRetryHint.count()),
+                    state);
 }
 
 class RemoteTransaction : public OpenTransaction {
@@ -130,8 +129,7 @@
 asio::awaitable<Reply> RemotePath::Read(StatementTask task) {
   const auto times = TimesOf(task);
   auto message = ToMessage(PeerOperation::kRead, m_group, task);
-  auto result =
-      co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, true);
+  auto result = co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, true);
   Log(m_context, m_group, task, result);
   if (result.end == End::kAnswered) {
     co_return FromMessage(std::move(result.reply));
@@ -142,8 +140,7 @@
 asio::awaitable<Reply> RemotePath::Write(StatementTask task) {
   const auto times = TimesOf(task);
   auto message = ToMessage(PeerOperation::kWrite, m_group, task);
-  auto result =
-      co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, false);
+  auto result = co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, false);
   Log(m_context, m_group, task, result);
   switch (result.end) {
     case End::kAnswered:
@@ -160,8 +157,7 @@
   auto message = ToMessage(PeerOperation::kFirst, m_group, task);
   message.read_only = read_only;
   const auto times = TimesOf(task);
-  auto result =
-      co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, false);
+  auto result = co_await m_homes.Call(m_group, m_max_connections, std::move(message), times, false);
   Log(m_context, m_group, task, result);
   Begun begun;
   if (result.end == End::kAnswered) {
@@ -176,8 +172,8 @@
   }
   // Whatever ran is never committed.
   const bool commits = task.statement.kind == StatementKind::kCommit;
-  begun.reply = Refusal(StatementError::kBusy, result,
-                        commits ? SessionState::kIdle : SessionState::kFailed);
+  begun.reply =
+      Refusal(StatementError::kBusy, result, commits ? SessionState::kIdle : SessionState::kFailed);
   co_return begun;
 }
 
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr Millis kReadTimeout{1000};
-// A group that no proxy has asked for within this time, and of which this proxy is no home, is closed.
+// A group that no proxy has asked for within this time, and of which this proxy is no home, is
+// closed.
 constexpr Millis kKeepUnused{15'000};
 
 }  // namespace
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -40,7 +40,8 @@
   void Start();
   void Stop();
 
-  // Reads the list of servers now, from the store itself. Returns false if the store does not answer.
+  // Reads the list of servers now, from the store itself. Returns false if the store does not
+  // answer.
   asio::awaitable<bool> RefreshServers();
 
   // A configuration and a list of servers are known.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,8 +15,8 @@
 constexpr Millis kStopPoll{50};
 // Time left at the end of a stop in which the last answers leave.
 constexpr Millis kStopReserve{700};
-// What is left of the time within which a configuration is in force once a relay's call to the store
-// has failed: the slack of that call and the way from another relay.
+// What is left of the time within which a configuration is in force once a relay's call to the
+// store has failed: the slack of that call and the way from another relay.
 constexpr Millis kSpreadTime{2200};
 constexpr Millis kLeastWait{300};
 constexpr Millis kMostWait{5000};
@@ -38,16 +38,8 @@
       m_context{io, m_settings, m_events, m_metrics, ports.open_link},
       m_fleet(m_context, ports.table),
       m_homes(m_context, m_fleet),
-      m_relayed(m_context,
-                ports.table,
-                StoreWaits(ports.decoders, m_settings),
-                m_fleet,
-                m_homes),
-      m_directory(m_context,
-                  ports.table,
-                  m_relayed.Port(),
-                  std::move(ports.decoders),
-                  m_fleet),
+      m_relayed(m_context, ports.table, StoreWaits(ports.decoders, m_settings), m_fleet, m_homes),
+      m_directory(m_context, ports.table, m_relayed.Port(), std::move(ports.decoders), m_fleet),
       m_runner(m_context),
       m_peers(m_context,
               m_directory,
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -176,8 +176,8 @@
 }
 
 bool GroupClient::IsDrained(const Endpoint& endpoint) const {
-  return endpoint.leaving_since &&
-         Clock::now() - *endpoint.leaving_since > Millis(m_context.settings.drain_ms) - kDrainMargin;
+  return endpoint.leaving_since && Clock::now() - *endpoint.leaving_since >
+                                       Millis(m_context.settings.drain_ms) - kDrainMargin;
 }
 
 GroupClient::EndpointPtr GroupClient::primary() const {
--- a/src/membership/home_plan.cc
+++ b/src/membership/home_plan.cc
@@ -16,8 +16,8 @@
   if (vms <= policy.direct_vms && usable >= vms) {
     plan.homes = vms;
   } else {
-    const auto per_domain = std::clamp<std::size_t>(usable / (domains * policy.least_links), 1,
-                                                    policy.most_per_domain);
+    const auto per_domain =
+        std::clamp<std::size_t>(usable / (domains * policy.least_links), 1, policy.most_per_domain);
     plan.homes = std::min(vms, domains * per_domain);
   }
   plan.links = std::max<std::size_t>(1, usable / plan.homes);
--- a/src/membership/home_plan.h
+++ b/src/membership/home_plan.h
@@ -25,8 +25,8 @@
   std::size_t links = 1;
 };
 
-// Each failure domain has at least one home, so that a statement is forwarded within its domain. Pure
-// and thread safe.
+// Each failure domain has at least one home, so that a statement is forwarded within its domain.
+// Pure and thread safe.
 HomePlan PlanHomes(std::size_t max_connections,
                    std::size_t vms,
                    std::size_t domains,
--- a/src/membership/rendezvous.cc
+++ b/src/membership/rendezvous.cc
@@ -12,8 +12,9 @@
 namespace cardamom {
 namespace {
 
-// Weighted rendezvous hashing: the smallest cost comes first, and a VM of twice the capacity gets four
-// times as many names, since what a VM needs for itself leaves a small one less than its share.
+// Weighted rendezvous hashing: the smallest cost comes first, and a VM of twice the capacity gets
+// four times as many names, since what a VM needs for itself leaves a small one less than its
+// share.
 double Cost(const VmEntry& vm, std::string_view name) {
   const auto seed = XXH3_64bits(name.data(), name.size());
   const auto hash = XXH3_64bits_withSeed(vm.id.value().data(), vm.id.value().size(), seed);
--- a/src/membership/rendezvous.h
+++ b/src/membership/rendezvous.h
@@ -9,8 +9,8 @@
 namespace cardamom {
 
 // All of `vms` that do not leave, best first for `name`. Every process that has the same list gets
-// the same order, and a change of one VM moves only that VM. A VM comes first more often the greater
-// its capacity. Pure and thread safe.
+// the same order, and a change of one VM moves only that VM. A VM comes first more often the
+// greater its capacity. Pure and thread safe.
 std::vector<VmEntry> RankVms(const std::vector<VmEntry>& vms, std::string_view name);
 
 // The first `count` VMs for `name`, spread over failure domains: a domain is used again only after
--- a/src/pool/link_pool.h
+++ b/src/pool/link_pool.h
@@ -58,10 +58,10 @@
            LinkOpener opener,
            std::size_t max_links);
 
-  // Takes an idle link, one with the same `values` first; else waits for one, and after a while opens
-  // one if the share allows it: a new link costs the server a slot, so that a wave of work must not
-  // open links all at once. The first link is opened without a wait. Errors: as LinkOpener, and
-  // kDeadlineExpired when none came free in time; always with Ran::kNo.
+  // Takes an idle link, one with the same `values` first; else waits for one, and after a while
+  // opens one if the share allows it: a new link costs the server a slot, so that a wave of work
+  // must not open links all at once. The first link is opened without a wait. Errors: as
+  // LinkOpener, and kDeadlineExpired when none came free in time; always with Ran::kNo.
   asio::awaitable<Outcome<Lease>> Acquire(SessionValues values, LinkUse use, TimePoint deadline);
 
   // Opens links until `count` are open.
--- a/src/proxy/group_table.h
+++ b/src/proxy/group_table.h
@@ -6,8 +6,8 @@
 #include <mutex>
 #include <vector>
 
-#include "proxy/group.h"
 #include "membership/membership.h"
+#include "proxy/group.h"
 #include "proxy/steward.h"
 
 namespace cardamom {
--- a/src/proxy/steward.h
+++ b/src/proxy/steward.h
@@ -8,8 +8,8 @@
 
 #include "failover/promotion_plan.h"
 #include "failover/suspicion.h"
-#include "proxy/group.h"
 #include "membership/membership.h"
+#include "proxy/group.h"
 #include "proxy/promoter.h"
 #include "proxy/term_store.h"
 
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -50,8 +50,9 @@
          "Address for metrics, status and events."},
     Text{"store", &S::store, "", true, "Address of the platform's store."},
     Text{"orders", &S::orders, "", true, "Address of the platform's promotion service."},
-    Text{"seeds", &S::seeds, "", false,
-         "Peer addresses to ask at the start while the store does not answer, separated by commas."},
+    Text{
+        "seeds", &S::seeds, "", false,
+        "Peer addresses to ask at the start while the store does not answer, separated by commas."},
     Text{"capacity", &S::capacity_text, "1", false,
          "Processor share of this VM; a VM with more of it is a home of more groups."},
     Text{"log-format", &S::log_format, "json", false, "text or json."},
@@ -59,8 +60,8 @@
 };
 
 void CheckAddresses(const GatewaySettings& settings, SettingsProblems& problems) {
-  for (const auto member :
-       {&S::listen_sessions, &S::listen_ready, &S::listen_peers, &S::listen_metrics, &S::store, &S::orders}) {
+  for (const auto member : {&S::listen_sessions, &S::listen_ready, &S::listen_peers,
+                            &S::listen_metrics, &S::store, &S::orders}) {
     const auto& text = settings.*member;
     if (!text.empty() && !Address::Parse(text)) {
       problems.push_back(fmt::format("'{}' is not an address of the form IP:PORT", text));
--- a/tests/unit/fleet_fakes.cc
+++ b/tests/unit/fleet_fakes.cc
@@ -17,7 +17,8 @@
 
 std::vector<Event> FakeVm::Events(EventCode code) {
   auto events = gateway->events().Snapshot();
-  std::erase_if(events, [code](const Event& event) { return event.code != static_cast<int>(code); });
+  std::erase_if(events,
+                [code](const Event& event) { return event.code != static_cast<int>(code); });
   return events;
 }
 
@@ -46,11 +47,13 @@
   const auto port = table.Port();
   const auto silence = [&vm](TimePoint deadline) -> asio::awaitable<Error> {
     co_await Sleep(deadline - Clock::now());
-    co_return Error{ResultCode::kPlatformUnavailable, vm.settings.vm_id + " hears nothing", Ran::kNo};
+    co_return Error{ResultCode::kPlatformUnavailable, vm.settings.vm_id + " hears nothing",
+                    Ran::kNo};
   };
   TablePort silenced;
-  silenced.read = [&vm, port, silence](std::string name, TimePoint deadline)
-      -> asio::awaitable<Outcome<TableSnapshot>> {
+  silenced.read = [&vm, port, silence](
+                      std::string name,
+                      TimePoint deadline) -> asio::awaitable<Outcome<TableSnapshot>> {
     if (vm.store_silent) {
       co_return co_await silence(deadline);
     }
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -1,4 +1,5 @@
-// Several gateways in one process that speak to each other over loopback, before an in-memory group.
+// Several gateways in one process that speak to each other over loopback, before an in-memory
+// group.
 #pragma once
 
 #include <memory>
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -22,7 +22,7 @@
   return count;
 }
 
-// HOMES ---------------------------------------------------------------------------------------------
+// Homes.
 
 RC_GTEST_PROP(HomePlanProperty, SharesNeverExceedWhatAServerTakes, ()) {
   const auto connections = *rc::gen::inRange<std::size_t>(8, 500);
@@ -206,7 +206,7 @@
   EXPECT_TRUE(fleet.servers.acknowledged.empty());
 }
 
-// RELAYS --------------------------------------------------------------------------------------------
+// Relays of the store.
 
 TEST(RelayTest, AQuietFleetCostsTheStoreTheCallsOfItsRelays) {
   FakeFleet fleet(24, 2, 1);
@@ -254,7 +254,8 @@
   EXPECT_TRUE(fleet.RunUntil(adopted, Millis(3000)));
 }
 
-// Pattern: the store goes on serving everyone but the relays of one failure domain, which hear nothing.
+// Pattern: the store goes on serving everyone but the relays of one failure domain, which hear
+// nothing.
 TEST(RelayTest, AChangeReachesTheFollowersOfRelaysThatTheStoreDoesNotAnswer) {
   FakeFleet fleet(12, 2, 1);
   std::vector<VmEntry> members;
@@ -302,7 +303,7 @@
   EXPECT_TRUE(fleet.RunUntil(listed, Millis(3000)));
 }
 
-// MESSAGES ------------------------------------------------------------------------------------------
+// Messages between proxies.
 
 RC_GTEST_PROP(PeerCodecProperty, AStatementArrivesAsItWasSent, ()) {
   Statement statement;
--- a/tests/unit/gateway_rules_test.cc
+++ b/tests/unit/gateway_rules_test.cc
@@ -141,7 +141,8 @@
   EXPECT_EQ(list.Entries().size(), 1U);
 }
 
-// Pattern: who follows the list by its feed hears of entries that lapsed in an outage as of any others.
+// Pattern: who follows the list by its feed hears of entries that lapsed in an outage as of any
+// others.
 TEST(ServerListTest, AnEntryThatLapsedInAnUnnoticedOutageStaysForTheReturnTimeAndNoLonger) {
   ServerList list(Millis(2200));
   const TimePoint now = Clock::now();
--- /dev/null
+++ b/tests/unit/link_pool_test.cc
@@ -0,0 +1,101 @@
+// Links to a server under waves of work.
+#include <gtest/gtest.h>
+
+#include "async/notifier.h"
+#include "async/spawn.h"
+#include "gateway_fakes.h"
+#include "pool/link_pool.h"
+
+namespace cardamom::testing {
+namespace {
+
+// Opens links that take a while, as a server's slot does for each of them.
+class SlowOpener {
+ public:
+  SlowOpener(FakeGroup& group, Millis time) : m_open(group.Opener()), m_time(time) {}
+
+  LinkOpener Hook() {
+    return [this](EndpointEntry entry,
+                  TimePoint deadline) -> asio::awaitable<Outcome<std::unique_ptr<EndpointLink>>> {
+      ++m_opening;
+      most_at_once = std::max(most_at_once, m_opening);
+      ++opened;
+      co_await Sleep(m_time);
+      --m_opening;
+      co_return co_await m_open(entry, deadline);
+    };
+  }
+
+  std::size_t most_at_once = 0;
+  std::size_t opened = 0;
+
+ private:
+  const LinkOpener m_open;
+  const Millis m_time;
+  std::size_t m_opening = 0;
+};
+
+class LinkPoolTest : public ::testing::Test {
+ protected:
+  // Runs `count` statements that begin together and hold a link for `work`; returns how many got
+  // one.
+  std::size_t RunWave(std::size_t count, Millis work, Millis limit) {
+    std::size_t done = 0;
+    std::size_t served = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      Spawn(m_io, [this, work, limit, &done, &served]() -> asio::awaitable<void> {
+        const SessionValues values;
+        auto lease = co_await m_pool->Acquire(values, LinkUse::kStatement, Clock::now() + limit);
+        if (lease) {
+          ++served;
+          co_await Sleep(work);
+        }
+        ++done;
+      });
+    }
+    m_io.restart();
+    while (done < count) {
+      m_io.run_one();
+    }
+    return served;
+  }
+
+  boost::asio::io_context m_io;
+  FakeGroup m_group{1};
+  SlowOpener m_opener{m_group, Millis(27)};
+  std::shared_ptr<LinkPool> m_pool =
+      std::make_shared<LinkPool>(m_io, m_group.server(0).entry, m_opener.Hook(), 16);
+};
+
+// Pattern: all proxies come back at once and find the callers' retries waiting.
+TEST_F(LinkPoolTest, AWaveOfWorkOpensItsLinksOneAtATime) {
+  EXPECT_EQ(RunWave(40, Millis(5), Millis(1000)), 40U);
+  EXPECT_EQ(m_opener.most_at_once, 1U);
+  // 40 statements of 5 ms need one or two links within 200 ms, not the share of 16.
+  EXPECT_LE(m_opener.opened, 5U);
+}
+
+// Pattern: transactions that rest hold every open link.
+TEST_F(LinkPoolTest, RestingTransactionsDoNotKeepOthersFromTheShare) {
+  EXPECT_EQ(RunWave(8, Millis(900), Millis(800)), 8U);
+}
+
+TEST_F(LinkPoolTest, WhoFindsNoLinkInTimeIsToldSoAndTheServerNotBlamed) {
+  m_pool->SetMax(1);
+  std::optional<ResultCode> code;
+  Spawn(m_io, [&]() -> asio::awaitable<void> {
+    const SessionValues values;
+    auto held = co_await m_pool->Acquire(values, LinkUse::kStatement, Clock::now() + Millis(200));
+    const auto refused =
+        co_await m_pool->Acquire(values, LinkUse::kStatement, Clock::now() + Millis(60));
+    code = refused.error().code;
+  });
+  m_io.restart();
+  while (!code) {
+    m_io.run_one();
+  }
+  EXPECT_EQ(*code, ResultCode::kDeadlineExpired);
+}
+
+}  // namespace
+}  // namespace cardamom::testing
--- a/tests/unit/statement_runner_test.cc
+++ b/tests/unit/statement_runner_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "async/notifier.h"
+#include "async/spawn.h"
 #include "gateway_fakes.h"
 
 namespace cardamom::testing {
@@ -215,5 +216,31 @@
   EXPECT_TRUE(RunRead("r2", Consistency::kBoundedStaleness).ok());
 }
 
+// Pattern: a primary with more work than slots; what waits at this proxy is not sent when it is too
+// late.
+TEST_F(StatementRunnerTest, AStatementThatCannotBeAnsweredInTimeIsRefusedUnsent) {
+  m_servers.server(0).work = Millis(100);
+  m_gateway.group->SetShare(1);
+  std::size_t done = 0;
+  std::size_t answered = 0;
+  m_gateway.Run([&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 12; ++i) {
+      Spawn(m_gateway.io, [&, i]() -> asio::awaitable<void> {
+        const auto statement = Read("q" + std::to_string(i), "a");
+        const auto task = m_gateway.Task(statement, m_caller, Consistency::kPrimary, Millis(400));
+        const auto reply = co_await m_gateway.runner.Read(m_gateway.group, task);
+        answered += reply.ok() ? 1 : 0;
+        ++done;
+      });
+    }
+    while (done < 12) {
+      co_await Sleep(Millis(5));
+    }
+  });
+  // Whatever was sent was answered; one at most may have been too late.
+  EXPECT_GE(answered, 2U);
+  EXPECT_LE(Ran(0, "FETCH"), answered + 1);
+}
+
 }  // namespace
 }  // namespace cardamom::testing
