--- a/tools/cardamomctl.cc
+++ b/tools/cardamomctl.cc
@@ -6,6 +6,7 @@
 #include <boost/program_options.hpp>
 
 #include "core/split.h"
+#include "tools/ctl/explain_command.h"
 #include "tools/ctl/record_commands.h"
 #include "tools/ctl/status_commands.h"
 
@@ -18,10 +19,11 @@
 
 const std::map<std::string, Command>& Commands() {
   static const std::map<std::string, Command> commands = {
-      {"check", &cardamom::CheckRecord},    {"submit", &cardamom::ChangeRecord},
-      {"replace", &cardamom::ChangeRecord}, {"withdraw", &cardamom::ChangeRecord},
-      {"list", &cardamom::ListRecords},     {"show", &cardamom::ShowRecord},
-      {"status", &cardamom::ShowStatus},    {"timeline", &cardamom::ShowTimeline},
+      {"check", &cardamom::CheckRecord},      {"submit", &cardamom::ChangeRecord},
+      {"replace", &cardamom::ChangeRecord},   {"withdraw", &cardamom::ChangeRecord},
+      {"list", &cardamom::ListRecords},       {"show", &cardamom::ShowRecord},
+      {"status", &cardamom::ShowStatus},      {"timeline", &cardamom::ShowTimeline},
+      {"explain", &cardamom::ExplainRequest},
   };
   return commands;
 }
@@ -61,7 +63,8 @@
   const auto command = Commands().find(options.command);
   if (values.contains("help") || command == Commands().end()) {
     std::cout << "cardamomctl check FILE | submit FILE | replace FILE --revision N |\n"
-                 "            withdraw GROUP --revision N | list | show GROUP | status | timeline\n"
+                 "            withdraw GROUP --revision N | list | show GROUP | status |\n"
+                 "            timeline [LOG...] | explain ID LOG...\n"
               << flags;
     return values.contains("help") ? cardamom::kExitOk : cardamom::kExitUsage;
   }
--- a/tools/ctl/status_commands.cc
+++ b/tools/ctl/status_commands.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "proxy/operations_api.h"
+#include "tools/ctl/log_reader.h"
 #include "tools/ctl/operations_client.h"
 #include "tools/ctl/timeline_format.h"
 
@@ -75,7 +76,10 @@
   return kExitOk;
 }
 
-int ShowTimeline(const CtlOptions& options) {
+namespace {
+
+// The events of all live proxies. Errors: kPlatformUnavailable if none answers.
+Outcome<std::vector<Event>> FetchEvents(const CtlOptions& options) {
   std::vector<Event> events;
   std::size_t answered = 0;
   for (const auto& address : AllProxies(options)) {
@@ -95,7 +99,28 @@
     }
   }
   if (answered == 0) {
-    return kExitUnavailable;
+    return Error{ResultCode::kPlatformUnavailable, "no proxy answers", Ran::kNo};
+  }
+  return events;
+}
+
+}  // namespace
+
+int ShowTimeline(const CtlOptions& options) {
+  std::vector<Event> events;
+  if (options.arguments.empty()) {
+    auto fetched = FetchEvents(options);
+    if (!fetched) {
+      return kExitUnavailable;
+    }
+    events = std::move(*fetched);
+  } else {
+    auto log = ReadLogFiles(options.arguments);
+    if (!log) {
+      std::cerr << log.error().detail << "\n";
+      return kExitUsage;
+    }
+    events = std::move(log->events);
   }
   SortEvents(events);
   const auto text = options.format == "html"    ? TimelineHtml(events)
