--- /dev/null
+++ b/tests/unit/base64_test.cc
@@ -0,0 +1,60 @@
+// Bytes as text, and messages of peers that were damaged on the way.
+#include "core/base64.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <stdexcept>
+
+#include "fleet/peer_codec.h"
+
+namespace cardamom {
+namespace {
+
+RC_GTEST_PROP(Base64Property, AnyBytesComeBack, (const std::string& bytes)) {
+  RC_ASSERT(DecodeBase64(EncodeBase64(bytes)) == bytes);
+}
+
+RC_GTEST_PROP(Base64Property, AnyTextIsReadOrRefused, (const std::string& text)) {
+  try {
+    const auto bytes = DecodeBase64(text);
+    RC_ASSERT(bytes.size() <= text.size() + 3);
+  } catch (const std::runtime_error&) {
+    RC_SUCCEED("refused");
+  }
+}
+
+TEST(Base64Test, KnownTexts) {
+  EXPECT_EQ(EncodeBase64("cardamom"), "Y2FyZGFtb20=");
+  EXPECT_EQ(DecodeBase64("Y2FyZGFtb20="), "cardamom");
+  EXPECT_EQ(DecodeBase64(""), "");
+  EXPECT_THROW(DecodeBase64("="), std::runtime_error);
+}
+
+// A damaged message is refused or read as one whose numbers are in range; it never ends the
+// process.
+RC_GTEST_PROP(PeerMessageProperty, ADamagedMessageIsRefusedOrValid, ()) {
+  PeerStatement message;
+  message.group = "g";
+  message.text = "FETCH a";
+  message.values["k"] = "v";
+  message.committed = Position{Term(3), LogIndex(9)};
+  auto text = Encode(message);
+  const auto damages = *rc::gen::inRange(1, 5);
+  for (int i = 0; i < damages; ++i) {
+    const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[place] = *rc::gen::arbitrary<char>();
+  }
+  const auto decoded = Decode<PeerStatement>(text);
+  if (decoded) {
+    const auto in = FromMessage(*decoded, Clock::now(), BootClock::now());
+    if (in) {
+      RC_ASSERT(static_cast<int>(in->statement.kind) <=
+                static_cast<int>(StatementKind::kDeallocate));
+      RC_ASSERT(static_cast<int>(in->operation) <= static_cast<int>(PeerOperation::kRollback));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace cardamom
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -22,6 +22,21 @@
   return count;
 }
 
+std::vector<FakeVm*> RelaysOf(FakeFleet& fleet, const std::string& domain) {
+  std::vector<VmEntry> members;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    VmEntry member;
+    member.id = VmId(fleet.vm(i).settings.vm_id);
+    member.domain = FailureDomain(fleet.vm(i).settings.domain);
+    members.push_back(member);
+  }
+  std::vector<FakeVm*> relays;
+  for (const auto& relay : Relays(members, FailureDomain(domain), 2)) {
+    relays.push_back(fleet.Find(relay.id.value()));
+  }
+  return relays;
+}
+
 // Homes.
 
 RC_GTEST_PROP(HomePlanProperty, SharesNeverExceedWhatAServerTakes, ()) {
@@ -231,16 +246,7 @@
 
 TEST(RelayTest, AChangeReachesEveryProxyAlsoPastAFrozenRelay) {
   FakeFleet fleet(12, 2, 1);
-  std::set<std::string> asked;
-  std::vector<VmEntry> members;
-  for (std::size_t i = 0; i < fleet.size(); ++i) {
-    VmEntry member;
-    member.id = VmId(fleet.vm(i).settings.vm_id);
-    member.domain = FailureDomain(fleet.vm(i).settings.domain);
-    members.push_back(member);
-  }
-  const auto relays = Relays(members, FailureDomain("domain-0"), 2);
-  fleet.Find(relays.front().id.value())->frozen = true;
+  RelaysOf(fleet, "domain-0").front()->frozen = true;
   fleet.Configure(2, Millis(900));
   const auto adopted = [&] {
     for (std::size_t i = 0; i < fleet.size(); ++i) {
@@ -258,16 +264,9 @@
 // nothing.
 TEST(RelayTest, AChangeReachesTheFollowersOfRelaysThatTheStoreDoesNotAnswer) {
   FakeFleet fleet(12, 2, 1);
-  std::vector<VmEntry> members;
-  for (std::size_t i = 0; i < fleet.size(); ++i) {
-    VmEntry member;
-    member.id = VmId(fleet.vm(i).settings.vm_id);
-    member.domain = FailureDomain(fleet.vm(i).settings.domain);
-    members.push_back(member);
-  }
   fleet.RunUntil([] { return false; }, Millis(1500));
-  for (const auto& relay : Relays(members, FailureDomain("domain-0"), 2)) {
-    fleet.Find(relay.id.value())->store_silent = true;
+  for (auto* relay : RelaysOf(fleet, "domain-0")) {
+    relay->store_silent = true;
   }
   fleet.Configure(2, Millis(900));
   const auto adopted = [&] {
