A small fleet opens its links at once and is not gated

Change: where every proxy is a home (direct), a pool opens its share at once and the gate admits everything, as before; shares of two or three links bound the work by themselves. Test: AnEagerPoolOpensItsShareAtOnceAndNoMore.

--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -185,7 +185,8 @@
     group->Start();
   }
   const auto plan = m_fleet.Plan(static_cast<std::size_t>(settings.max_connections));
-  group->SetShare(plan.links, plan.homes);
+  const bool direct = m_fleet.IsDirect(static_cast<std::size_t>(settings.max_connections));
+  group->SetShare({plan.links, plan.homes, direct});
   std::vector<EndpointEntry> entries;
   for (auto& entry : m_servers.Entries()) {
     if (entry.group == settings.group) {
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -63,14 +63,14 @@
 }
 
 std::size_t GroupClient::LinkLimit() const {
-  return std::max<std::size_t>(1, m_share);
+  return std::max<std::size_t>(1, m_share.links);
 }
 
-void GroupClient::SetShare(std::size_t share, std::size_t homes) {
+void GroupClient::SetShare(const Share& share) {
   m_share = share;
-  m_homes = std::max<std::size_t>(1, homes);
   for (const auto& [id, endpoint] : m_endpoints) {
     endpoint->pool->SetMax(LinkLimit());
+    endpoint->pool->SetEager(m_share.direct);
   }
 }
 
@@ -78,13 +78,18 @@
   const bool near = entry.domain.value() == m_context.settings.domain;
   const auto pool =
       std::make_shared<LinkPool>(m_context.io, entry, m_context.open_link, LinkLimit());
+  pool->SetEager(m_share.direct);
   ConcurrencyLimit::Options limit;
   limit.least = 1;
   limit.most = std::max<std::size_t>(kLeastInProgress, LinkLimit());
   // All homes together keep the slots of a server busy and fill a part of its queue.
-  limit.initial = std::clamp(kWorkPerSlot * static_cast<std::size_t>(entry.slots) / m_homes,
+  limit.initial = std::clamp(kWorkPerSlot * static_cast<std::size_t>(entry.slots) /
+                                 std::max<std::size_t>(1, m_share.homes),
                              kLeastInProgress, limit.most);
   limit.tolerated_latency = kQueuedLatency;
+  if (m_share.direct) {
+    limit.least = limit.initial = limit.most = kQueueCapacity;
+  }
   const auto gate = std::make_shared<EndpointGate>(limit, kQueueCapacity, kLongestQueueing);
   const auto endpoint = std::make_shared<Endpoint>(
       entry, pool, gate, kBaseWork + (near ? kBaseSameDomain : kBaseOtherDomain));
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -49,8 +49,16 @@
 
   // Takes the newest list of the group's servers and its settings.
   void Update(const std::vector<EndpointEntry>& entries, const GroupSettings& settings);
-  // Changes the number of links that this proxy, one of `homes`, may hold to each server.
-  void SetShare(std::size_t share, std::size_t homes = 1);
+  // How this proxy shares the servers with the others.
+  struct Share {
+    // Links that it may hold to each server.
+    std::size_t links = 1;
+    // Proxies that hold links.
+    std::size_t homes = 1;
+    // Every proxy of the fleet does, with a few links each, which bound its work by themselves.
+    bool direct = false;
+  };
+  void SetShare(const Share& share);
 
   // Starts the watch over the primary.
   void Start();
@@ -135,8 +143,7 @@
   GatewayContext& m_context;
   const GroupId m_id;
   GroupSettings m_settings;
-  std::size_t m_homes = 1;
-  std::size_t m_share = 2;
+  Share m_share;
   std::map<EndpointId, EndpointPtr> m_endpoints;
   std::vector<DepartedServer> m_departed;
   std::optional<TimePoint> m_first_listed;
--- a/src/pool/link_pool.cc
+++ b/src/pool/link_pool.cc
@@ -85,7 +85,7 @@
     ++m_open;
     co_return co_await Open(deadline);
   }
-  if (m_open == 0 && m_max > 0) {
+  if (MayOpenAtOnce()) {
     ++m_open;
     co_return co_await Open(deadline);
   }
--- a/src/pool/link_pool.h
+++ b/src/pool/link_pool.h
@@ -70,6 +70,10 @@
   // Changes the share; links above it close when they are given back.
   void SetMax(std::size_t max_links) { m_max = max_links; }
 
+  // An eager pool opens a link at once while the share allows it: shares of a few links each cannot
+  // flood a server.
+  void SetEager(bool eager) { m_eager = eager; }
+
   // Closes idle links now and the others when they are given back. Waiters are refused.
   void Retire();
 
@@ -79,7 +83,7 @@
   std::size_t open() const { return m_open; }
   std::size_t leased() const { return m_open - m_idle.size(); }
   // Whether Acquire would not have to wait.
-  bool HasRoom() const { return !m_idle.empty() || m_open == 0; }
+  bool HasRoom() const { return !m_idle.empty() || MayOpenAtOnce(); }
   std::size_t waiting() const { return m_waiters.size(); }
 
  private:
@@ -93,6 +97,7 @@
     bool refused = false;
   };
 
+  bool MayOpenAtOnce() const { return m_eager ? m_open < m_max : m_open == 0 && m_max > 0; }
   std::unique_ptr<PooledLink> TakeIdle(const SessionValues& values);
   asio::awaitable<Outcome<Lease>> Open(TimePoint deadline);
   asio::awaitable<Outcome<Lease>> Wait(TimePoint deadline);
@@ -108,6 +113,7 @@
   std::size_t m_open = 0;
   std::size_t m_opening = 0;
   bool m_retired = false;
+  bool m_eager = false;
   std::vector<std::unique_ptr<PooledLink>> m_idle;
   std::list<std::shared_ptr<Waiter>> m_waiters;
 };
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -329,7 +329,7 @@
       runner(context) {
   GroupSettings group_settings;
   group_settings.group = group->id();
-  group->SetShare(2);
+  group->SetShare({.links = 2});
   group->Update(fake.Entries(), group_settings);
 }
 
--- a/tests/unit/link_pool_test.cc
+++ b/tests/unit/link_pool_test.cc
@@ -75,6 +75,15 @@
   EXPECT_LE(m_opener.opened, 5U);
 }
 
+// Pattern: a small fleet in which every proxy has a few links.
+TEST_F(LinkPoolTest, AnEagerPoolOpensItsShareAtOnceAndNoMore) {
+  m_pool->SetEager(true);
+  m_pool->SetMax(3);
+  EXPECT_EQ(RunWave(6, Millis(20), Millis(1000)), 6U);
+  EXPECT_EQ(m_opener.most_at_once, 3U);
+  EXPECT_EQ(m_opener.opened, 3U);
+}
+
 // Pattern: transactions that rest hold every open link.
 TEST_F(LinkPoolTest, RestingTransactionsDoNotKeepOthersFromTheShare) {
   EXPECT_EQ(RunWave(8, Millis(900), Millis(800)), 8U);
--- a/tests/unit/statement_runner_test.cc
+++ b/tests/unit/statement_runner_test.cc
@@ -220,7 +220,7 @@
 // late.
 TEST_F(StatementRunnerTest, AStatementThatCannotBeAnsweredInTimeIsRefusedUnsent) {
   m_servers.server(0).work = Millis(100);
-  m_gateway.group->SetShare(1);
+  m_gateway.group->SetShare({.links = 1});
   std::size_t done = 0;
   std::size_t answered = 0;
   m_gateway.Run([&]() -> asio::awaitable<void> {
