--- a/src/fleet/home_path.cc
+++ b/src/fleet/home_path.cc
@@ -14,15 +14,18 @@
 }
 
 asio::awaitable<Reply> HomePath::Read(StatementTask task) {
-  co_return co_await Choose(task, true).Read(std::move(task));
+  auto& path = Choose(task, true);
+  co_return co_await path.Read(std::move(task));
 }
 
 asio::awaitable<Reply> HomePath::Write(StatementTask task) {
-  co_return co_await Choose(task, false).Write(std::move(task));
+  auto& path = Choose(task, false);
+  co_return co_await path.Write(std::move(task));
 }
 
 asio::awaitable<StatementPath::Begun> HomePath::RunFirst(StatementTask task, bool read_only) {
-  co_return co_await Choose(task, read_only).RunFirst(std::move(task), read_only);
+  auto& path = Choose(task, read_only);
+  co_return co_await path.RunFirst(std::move(task), read_only);
 }
 
 }  // namespace cardamom
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -122,6 +122,7 @@
   stop.operation = EndpointOperation::kPause;
   const auto paused = co_await AskServers(context, group, asked, stop);
   std::vector<StoppedServer> servers;
+  servers.reserve(primaries.size() + replicas.size() + departed.size());
   for (const auto& endpoint : primaries) {
     servers.push_back(Judge(*endpoint, stepped, true, stop.term));
   }
