Era of the store, ignored answers and calls by outcome are observable

Events 207 store_restored and 208 store_answer_ignored, metrics cardamom_store_calls_total and cardamom_store_era. No rule changes: versions are compared as before.

--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -25,6 +25,8 @@
   kPlatformReachable = 204,
   kMembersChanged = 205,
   kGroupClosed = 206,
+  kStoreRestored = 207,
+  kStoreAnswerIgnored = 208,
   // 3xx: failover.
   kPrimarySuspected = 300,
   kTermAllocated = 301,
--- /dev/null
+++ b/src/core/store_position.h
@@ -0,0 +1,30 @@
+// Where an observation of the platform's store stands in the store's history.
+//
+// The store may be restored from an older copy of itself. What was written since the copy is then
+// gone, and the versions are given out again, so versions of different eras cannot be compared.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "cardamom/strong.h"
+#include "core/json.h"
+
+namespace cardamom {
+
+// How often the store was restored, as it counts itself; 0 for a store that does not report it.
+using StoreEra = Strong<struct StoreEraTag, std::uint64_t>;
+// Version of the store or of one of its rows. Grows with each write within an era.
+using StoreVersion = Strong<struct StoreVersionTag, std::uint64_t>;
+
+// The state of the store at one moment. A value type, ordered by era and then version.
+struct StorePosition {
+  StoreEra era;
+  StoreVersion version;
+
+  auto operator<=>(const StorePosition&) const = default;
+  bool operator==(const StorePosition&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(StorePosition, (), (era, version))
+
+}  // namespace cardamom
--- a/src/directory/table_follower.cc
+++ b/src/directory/table_follower.cc
@@ -4,6 +4,8 @@
 #include <random>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "async/spawn.h"
 
 namespace cardamom {
@@ -40,6 +42,7 @@
   const bool lost = m_up_to_date && !up_to_date;
   (up_to_date ? m_last_response_at : m_last_failure_at) = Clock::now();
   m_up_to_date = up_to_date;
+  m_context.metrics.CountStoreCall(up_to_date ? "answered" : "failed");
   if (m_on_store_call) {
     m_on_store_call(up_to_date, detail);
   }
@@ -72,13 +75,14 @@
 
 asio::awaitable<void> TableFollower::FollowChanges() {
   while (!m_stopped) {
-    const auto changes = co_await m_table.follow(m_name, m_version, kFollowWait);
+    const auto changes = co_await m_table.follow(m_name, m_position, kFollowWait);
     if (!changes) {
       SetUpToDate(false, changes.error().detail);
       co_await Sleep(RetryDelay());
       co_return;
     }
     if (changes->history_gone) {
+      m_context.metrics.CountStoreCall("history_gone");
       co_return;
     }
     SetUpToDate(true, m_name + " followed");
@@ -86,13 +90,28 @@
   }
 }
 
+std::string TableFollower::DescribeStep(const StorePosition& next) const {
+  return fmt::format(": era {} version {} after era {} version {}", next.era.value(),
+                     next.version.value(), m_position.era.value(), m_position.version.value());
+}
+
+void TableFollower::ObserveEra(const StorePosition& position) {
+  if (m_loaded && position.era > m_position.era) {
+    m_context.events.Emit(EventCode::kStoreRestored, {.detail = m_name + DescribeStep(position)});
+  }
+  m_context.metrics.SetStoreEra(position.era);
+}
+
 void TableFollower::AdoptAll(TableSnapshot snapshot) {
-  if (m_loaded && snapshot.version < m_version) {
+  ObserveEra(snapshot.position);
+  if (m_loaded && snapshot.position.version < m_position.version) {
     // The rows read before are newer.
+    m_context.events.Emit(EventCode::kStoreAnswerIgnored,
+                          {.detail = m_name + DescribeStep(snapshot.position)});
     return;
   }
   if (!m_loaded) {
-    m_history_from = snapshot.version;
+    m_history_from = snapshot.position.version;
   }
   std::map<std::string, TableRow> rows;
   for (auto& row : snapshot.rows) {
@@ -102,11 +121,11 @@
   }
   for (const auto& [key, row] : m_rows) {
     if (!rows.contains(key)) {
-      m_removed_rows[key] = snapshot.version;
+      m_removed_rows[key] = snapshot.position.version;
     }
   }
   m_rows = std::move(rows);
-  m_version = snapshot.version;
+  m_position = snapshot.position;
   m_loaded = true;
   PruneRemovedRows();
   if (m_on_change) {
@@ -116,22 +135,26 @@
 }
 
 void TableFollower::AdoptChanges(const TableSnapshot& changes) {
+  ObserveEra(changes.position);
   bool changed = false;
   for (const auto& row : changes.rows) {
     const auto present = m_rows.find(row.key);
     if (present != m_rows.end() && present->second.version >= row.version) {
+      m_context.events.Emit(
+          EventCode::kStoreAnswerIgnored,
+          {.detail = m_name + DescribeStep(changes.position) + ", row " + row.key});
       continue;
     }
     changed = true;
     if (row.gone) {
       m_rows.erase(row.key);
-      m_removed_rows[row.key] = std::max(row.version, m_version + 1);
+      m_removed_rows[row.key] = std::max(row.version, StoreVersion(m_position.version.value() + 1));
     } else {
       m_removed_rows.erase(row.key);
       m_rows[row.key] = row;
     }
   }
-  m_version = std::max(m_version, changes.version);
+  m_position = std::max(m_position, changes.position);
   PruneRemovedRows();
   if (changed) {
     if (m_on_change) {
@@ -160,24 +183,24 @@
 
 TableSnapshot TableFollower::LatestSnapshot() const {
   TableSnapshot snapshot;
-  snapshot.version = m_version;
+  snapshot.position = m_position;
   for (const auto& [key, row] : m_rows) {
     snapshot.rows.push_back(row);
   }
   return snapshot;
 }
 
-asio::awaitable<Outcome<TableSnapshot>> TableFollower::WaitForChanges(std::uint64_t after,
+asio::awaitable<Outcome<TableSnapshot>> TableFollower::WaitForChanges(StorePosition after,
                                                                       Millis wait) {
   const auto gather = [this, after] {
     TableSnapshot changes;
     for (const auto& [key, row] : m_rows) {
-      if (row.version > after) {
+      if (row.version > after.version) {
         changes.rows.push_back(row);
       }
     }
     for (const auto& [key, version] : m_removed_rows) {
-      if (version > after) {
+      if (version > after.version) {
         changes.rows.push_back({key, "", version, true});
       }
     }
@@ -190,13 +213,13 @@
   if (!m_loaded || !m_up_to_date) {
     co_return Error{ResultCode::kPlatformUnavailable, m_name + " is not in step", Ran::kNo};
   }
-  if (after < m_history_from) {
+  if (after.version < m_history_from) {
     TableSnapshot gone;
     gone.history_gone = true;
     co_return gone;
   }
   auto changes = gather();
-  changes.version = m_version;
+  changes.position = m_position;
   co_return changes;
 }
 
--- a/src/directory/table_follower.h
+++ b/src/directory/table_follower.h
@@ -45,22 +45,25 @@
   TimePoint last_failure_at() const { return m_last_failure_at; }
   // Rows that exist, by key.
   const std::map<std::string, TableRow>& rows() const { return m_rows; }
-  // Version of the store that rows() reflects.
-  std::uint64_t version() const { return m_version; }
+  // Position of the store that rows() reflects.
+  StorePosition position() const { return m_position; }
 
-  // Returns the rows changed after version `after`, removed ones included, as soon as there are
+  // Returns the rows changed after position `after`, removed ones included, as soon as there are
   // any, or no rows after `wait`. Sets `history_gone` if not all of these changes are kept any
   // more. Errors: kPlatformUnavailable while this follower is not up to date.
-  asio::awaitable<Outcome<TableSnapshot>> WaitForChanges(std::uint64_t after, Millis wait);
+  asio::awaitable<Outcome<TableSnapshot>> WaitForChanges(StorePosition after, Millis wait);
   // Returns all rows. Errors: as Changes.
   Outcome<TableSnapshot> Snapshot() const;
-  // Returns all rows as last read, however long ago; no rows and version 0 if the table was never
+  // Returns all rows as last read, however long ago; no rows and position 0 if the table was never
   // read.
   TableSnapshot LatestSnapshot() const;
 
  private:
   asio::awaitable<void> Run();
   asio::awaitable<void> FollowChanges();
+  // Reports a restore of the store that an answer at `position` reveals.
+  void ObserveEra(const StorePosition& position);
+  std::string DescribeStep(const StorePosition& next) const;
   void AdoptAll(TableSnapshot snapshot);
   void AdoptChanges(const TableSnapshot& changes);
   void SetUpToDate(bool up_to_date, const std::string& detail);
@@ -74,10 +77,10 @@
   std::function<void(bool, const std::string&)> m_on_store_call;
   std::map<std::string, TableRow> m_rows;
   // By key, the version at which a removed row was observed as removed; used by Changes().
-  std::map<std::string, std::uint64_t> m_removed_rows;
+  std::map<std::string, StoreVersion> m_removed_rows;
   // The removed rows are complete only for changes after this version.
-  std::uint64_t m_history_from = 0;
-  std::uint64_t m_version = 0;
+  StoreVersion m_history_from;
+  StorePosition m_position;
   bool m_loaded = false;
   bool m_up_to_date = false;
   bool m_stopped = false;
--- a/src/directory/table_port.h
+++ b/src/directory/table_port.h
@@ -11,6 +11,7 @@
 
 #include "cardamom/error.h"
 #include "core/clock.h"
+#include "core/store_position.h"
 
 namespace cardamom {
 
@@ -19,16 +20,16 @@
 struct TableRow {
   std::string key;
   std::string value;
-  std::uint64_t version = 0;
+  StoreVersion version;
   // The row was removed; set only among changes.
   bool gone = false;
 };
 
-// The rows of a table at one version of the store, or the rows that changed after one.
+// The rows of a table at one position of the store, or the rows that changed after one.
 struct TableSnapshot {
   std::vector<TableRow> rows;
-  // Version of the whole store when the rows were read.
-  std::uint64_t version = 0;
+  // Position of the whole store when the rows were read.
+  StorePosition position;
   // The store's monotonic clock.
   std::int64_t now_ms = 0;
   // Only among changes: the requested history is no longer kept, so the whole table must be read.
@@ -39,7 +40,7 @@
   std::string table;
   std::string key;
   // Version that the row must have; 0 if it must not exist; not set for an unconditional write.
-  std::optional<std::uint64_t> expected;
+  std::optional<StoreVersion> expected;
   // The new value; not set to remove the row.
   std::optional<std::string> value;
 };
@@ -47,7 +48,9 @@
 struct TableWriteResult {
   // False if the row had another version.
   bool applied = false;
-  std::int64_t now_ms = 0;
+  // Era of the store when it handled the write. If it differs from the era in which the expected
+  // version was read, the versions are not comparable, and `applied` shows nothing.
+  StoreEra era;
 };
 
 // Calls to the store. Errors of all calls: kPlatformUnavailable, whose `ran` indicates whether a
@@ -56,9 +59,9 @@
   // Reads the whole table.
   std::function<asio::awaitable<Outcome<TableSnapshot>>(std::string table, TimePoint deadline)>
       read;
-  // Waits for changes after version `after`, at most `wait`, and returns them.
+  // Waits for changes after position `after`, at most `wait`, and returns them.
   std::function<
-      asio::awaitable<Outcome<TableSnapshot>>(std::string table, std::uint64_t after, Millis wait)>
+      asio::awaitable<Outcome<TableSnapshot>>(std::string table, StorePosition after, Millis wait)>
       follow;
   // Writes or removes one row.
   std::function<asio::awaitable<Outcome<TableWriteResult>>(TableWrite write, TimePoint deadline)>
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -119,7 +119,7 @@
   m_context.events.Emit(
       EventCode::kMembersChanged,
       {.detail = fmt::format("{} VMs in {} failure domains, row version {}", m_vms.size(),
-                             m_domain_count, m_follower.version())});
+                             m_domain_count, m_follower.position().version.value())});
   if (m_on_change) {
     m_on_change();
   }
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/json.h"
+#include "core/store_position.h"
 
 namespace cardamom {
 
@@ -110,7 +111,7 @@
 // One row of a followed table; the value may be any bytes.
 struct PeerRow {
   std::string key;
-  std::uint64_t version = 0;
+  StoreVersion version;
   bool gone = false;
   std::string value_base64;
 };
@@ -119,19 +120,22 @@
 // POST kPeerTablePath: asks for the rows of a table, or for its changes after the version `after`.
 struct PeerTableRequest {
   std::string table;
-  std::optional<std::uint64_t> after;
+  std::optional<StoreVersion> after;
+  // Era of `after`.
+  StoreEra era;
   std::int64_t wait_ms = 0;
   // Set by a proxy that is starting: it accepts the rows that the peer has loaded, however old.
   bool any_age = false;
 };
-BOOST_DESCRIBE_STRUCT(PeerTableRequest, (), (table, after, wait_ms, any_age))
+BOOST_DESCRIBE_STRUCT(PeerTableRequest, (), (table, after, era, wait_ms, any_age))
 
 struct PeerTableReply {
   std::vector<PeerRow> rows;
-  std::uint64_t version = 0;
+  StoreEra era;
+  StoreVersion version;
   bool history_gone = false;
 };
-BOOST_DESCRIBE_STRUCT(PeerTableReply, (), (rows, version, history_gone))
+BOOST_DESCRIBE_STRUCT(PeerTableReply, (), (rows, era, version, history_gone))
 
 // GET kPeerStorePath: whether the peer's list of servers is up to date with the store.
 struct PeerStoreReply {
--- a/src/fleet/peer_service.cc
+++ b/src/fleet/peer_service.cc
@@ -85,7 +85,7 @@
   if (request->any_age) {
     snapshot = table.LatestSnapshot();
   } else if (is_from_store && request->after) {
-    snapshot = co_await table.WaitForChanges(*request->after, wait);
+    snapshot = co_await table.WaitForChanges({request->era, *request->after}, wait);
   } else if (is_from_store) {
     snapshot = table.Snapshot();
   }
@@ -95,7 +95,8 @@
     co_return response;
   }
   PeerTableReply reply;
-  reply.version = snapshot->version;
+  reply.era = snapshot->position.era;
+  reply.version = snapshot->position.version;
   reply.history_gone = snapshot->history_gone;
   for (const auto& row : snapshot->rows) {
     reply.rows.push_back({row.key, row.version, row.gone, EncodeBase64(row.value)});
--- a/src/fleet/relayed_table.cc
+++ b/src/fleet/relayed_table.cc
@@ -44,7 +44,7 @@
     return reply.error();
   }
   TableSnapshot snapshot;
-  snapshot.version = reply->version;
+  snapshot.position = {reply->era, reply->version};
   snapshot.history_gone = reply->history_gone;
   try {
     for (auto& row : reply->rows) {
@@ -80,7 +80,7 @@
   port.read = [this](std::string table, TimePoint deadline) {
     return Read(std::move(table), deadline);
   };
-  port.follow = [this](std::string table, std::uint64_t after, Millis wait) {
+  port.follow = [this](std::string table, StorePosition after, Millis wait) {
     return Follow(std::move(table), after, wait);
   };
   return port;
@@ -163,9 +163,9 @@
         asked++ >= kMaxPeersAsked) {
       continue;
     }
-    PeerTableRequest request{table, std::nullopt, 0, true};
+    PeerTableRequest request{.table = table, .any_age = true};
     auto answer = co_await Ask(vm, std::move(request), Clock::now() + kRelayReadTimeout);
-    if (answer && answer->version > 0) {
+    if (answer && answer->position != StorePosition()) {
       co_return answer;
     }
   }
@@ -218,7 +218,7 @@
     co_await WaitUntilSettled(deadline);
   }
   if (m_fleet.IsSettled() && !m_fleet.IsRelay()) {
-    PeerTableRequest request{table, std::nullopt, 0, false};
+    PeerTableRequest request{.table = table};
     auto answer = co_await AskRelays(std::move(request), Clock::now() + kRelayReadTimeout);
     if (answer) {
       m_from_store[table] = false;
@@ -233,7 +233,7 @@
 }
 
 asio::awaitable<Outcome<TableSnapshot>> RelayedTable::Follow(std::string table,
-                                                             std::uint64_t after,
+                                                             StorePosition after,
                                                              Millis wait) {
   if (!m_fleet.IsSettled() && table != Fleet::kTableName) {
     co_await WaitUntilSettled(Clock::now() + wait);
@@ -247,7 +247,8 @@
   }
   if (!m_fleet.IsRelay()) {
     const auto relay_wait = std::min(wait, kRelayWait);
-    PeerTableRequest request{table, after, relay_wait.count(), false};
+    PeerTableRequest request{
+        .table = table, .after = after.version, .era = after.era, .wait_ms = relay_wait.count()};
     auto answer =
         co_await AskRelays(std::move(request), Clock::now() + relay_wait + kRelayReplyMargin);
     if (answer) {
--- a/src/fleet/relayed_table.h
+++ b/src/fleet/relayed_table.h
@@ -34,7 +34,7 @@
  private:
   asio::awaitable<Outcome<TableSnapshot>> Read(std::string table, TimePoint deadline);
   asio::awaitable<Outcome<TableSnapshot>> Follow(std::string table,
-                                                 std::uint64_t after,
+                                                 StorePosition after,
                                                  Millis wait);
   // Reads a table for the first time: from the store, and from peers if it is slow to answer.
   asio::awaitable<Outcome<TableSnapshot>> ReadFirst(std::string table, TimePoint deadline);
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -105,7 +105,7 @@
   m_context.events.Emit(
       EventCode::kConfigAdopted,
       {.detail = fmt::format("version {} with {} routes, row version {}", configuration->version,
-                             configuration->routes.size(), row->second.version)});
+                             configuration->routes.size(), row->second.version.value())});
   m_context.metrics.SetConfiguration(configuration->version);
   m_configuration = std::move(configuration);
   UpdateGroups();
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -117,7 +117,7 @@
   bool m_stopped = false;
   ServerList m_servers;
   // Versions of the server rows that could not be decoded, by key; each is reported once.
-  std::map<std::string, std::uint64_t> m_unreadable;
+  std::map<std::string, StoreVersion> m_unreadable;
   std::map<GroupId, std::shared_ptr<GroupClient>> m_groups;
   // When another proxy last requested a group.
   std::map<GroupId, TimePoint> m_last_peer_request;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -37,7 +37,16 @@
                           .Name("cardamom_configuration_version")
                           .Help("Version of the configuration in force")
                           .Register(m_registry)
-                          .Add({})) {}
+                          .Add({})),
+      m_store_calls(prometheus::BuildCounter()
+                        .Name("cardamom_store_calls_total")
+                        .Help("Calls that read or follow the store's tables, by outcome")
+                        .Register(m_registry)),
+      m_store_era(prometheus::BuildGauge()
+                      .Name("cardamom_store_era")
+                      .Help("Era of the store, which rises when it is restored from a copy")
+                      .Register(m_registry)
+                      .Add({})) {}
 
 void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
   m_statements.Add({{"outcome", outcome}}).Increment();
@@ -61,6 +70,14 @@
   m_configuration.Set(static_cast<double>(version));
 }
 
+void GatewayMetrics::CountStoreCall(const char* outcome) {
+  m_store_calls.Add({{"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::SetStoreEra(StoreEra era) {
+  m_store_era.Set(static_cast<double>(era.value()));
+}
+
 std::string GatewayMetrics::Format() {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -10,6 +10,7 @@
 #include <prometheus/registry.h>
 
 #include "core/clock.h"
+#include "core/store_position.h"
 
 namespace cardamom {
 
@@ -30,6 +31,11 @@
   void SetSessions(std::size_t count);
   // Sets the version of the configuration in force.
   void SetConfiguration(std::uint64_t version);
+  // Counts a call of a table follower to the store or a relay. `outcome` is answered, history_gone
+  // (the whole table has to be read) or failed.
+  void CountStoreCall(const char* outcome);
+  // Sets the era of the store in its latest answer.
+  void SetStoreEra(StoreEra era);
 
   // All metrics in the Prometheus text format.
   std::string Format();
@@ -42,6 +48,8 @@
   prometheus::Family<prometheus::Histogram>& m_durations;
   prometheus::Gauge& m_sessions;
   prometheus::Gauge& m_configuration;
+  prometheus::Family<prometheus::Counter>& m_store_calls;
+  prometheus::Gauge& m_store_era;
 };
 
 }  // namespace cardamom
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -110,7 +110,7 @@
     co_return std::nullopt;
   }
   FenceRow row;
-  std::uint64_t version = 0;
+  StoreVersion version;
   for (const auto& found : rows->rows) {
     if (found.key == group->id().value()) {
       const auto decoded = DecodeJson<FenceRow>(found.value);
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -63,7 +63,7 @@
     co_return ClaimResult{std::nullopt, true};
   }
   Claim claim;
-  std::uint64_t version = 0;
+  StoreVersion version;
   for (const auto& row : rows->rows) {
     if (row.key == group.id().value()) {
       const auto decoded = DecodeJson<FenceRow>(row.value);
--- a/tests/unit/fleet_fakes.cc
+++ b/tests/unit/fleet_fakes.cc
@@ -105,7 +105,7 @@
     }
     co_return co_await port.read(name, deadline);
   };
-  wrapped.follow = [&vm, port, no_answer](std::string name, std::uint64_t after,
+  wrapped.follow = [&vm, port, no_answer](std::string name, StorePosition after,
                                           Millis wait) -> asio::awaitable<Outcome<TableSnapshot>> {
     const auto deadline = Clock::now() + wait + kFollowReplyMargin;
     auto answer = co_await port.follow(name, after, wait);
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -264,22 +264,22 @@
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
     TableSnapshot snapshot;
-    snapshot.version = m_version;
+    snapshot.position.version = StoreVersion(m_version);
     snapshot.now_ms = now_ms;
     for (const auto& [key, row] : m_tables[table]) {
-      snapshot.rows.push_back({key, row.value, row.version, false});
+      snapshot.rows.push_back({key, row.value, StoreVersion(row.version), false});
     }
     co_return snapshot;
   };
-  port.follow = [this](std::string table, std::uint64_t after,
+  port.follow = [this](std::string table, StorePosition after,
                        Millis wait) -> asio::awaitable<Outcome<TableSnapshot>> {
     ++calls;
     const auto deadline = Clock::now() + wait;
     TableSnapshot changes;
     while (!unavailable && changes.rows.empty() && Clock::now() < deadline) {
       for (const auto& [key, row] : m_tables[table]) {
-        if (row.version > after) {
-          changes.rows.push_back({key, row.value, row.version, false});
+        if (row.version > after.version.value()) {
+          changes.rows.push_back({key, row.value, StoreVersion(row.version), false});
         }
       }
       if (changes.rows.empty()) {
@@ -289,7 +289,7 @@
     if (unavailable) {
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
-    changes.version = m_version;
+    changes.position.version = StoreVersion(m_version);
     co_return changes;
   };
   port.write = [this](TableWrite write,
@@ -299,9 +299,8 @@
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
     TableWriteResult result;
-    result.now_ms = now_ms;
     const auto current = m_tables[write.table][write.key].version;
-    result.applied = !write.expected || *write.expected == current;
+    result.applied = !write.expected || write.expected->value() == current;
     if (result.applied) {
       Put(write.table, write.key, write.value.value_or(""));
     }
