--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -7,6 +7,9 @@
 namespace cardamom::testing {
 namespace {
 
+// Time that the store takes to answer a read.
+constexpr Millis kStoreLatency{1};
+
 class FakeLink : public EndpointLink {
  public:
   FakeLink(FakeGroup& group, FakeServer& server) : m_group(group), m_server(server) {}
@@ -263,8 +266,9 @@
     if (unavailable) {
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
+    co_await Sleep(kStoreLatency);
     TableSnapshot snapshot;
-    snapshot.position.version = StoreVersion(m_version);
+    snapshot.position = Position();
     snapshot.now_ms = now_ms;
     for (const auto& [key, row] : m_tables[table]) {
       snapshot.rows.push_back({key, row.value, StoreVersion(row.version), false});
@@ -277,6 +281,10 @@
     const auto deadline = Clock::now() + wait;
     TableSnapshot changes;
     while (!unavailable && changes.rows.empty() && Clock::now() < deadline) {
+      if (after.version.value() > m_version) {
+        changes.history_gone = true;
+        break;
+      }
       for (const auto& [key, row] : m_tables[table]) {
         if (row.version > after.version.value()) {
           changes.rows.push_back({key, row.value, StoreVersion(row.version), false});
@@ -289,7 +297,7 @@
     if (unavailable) {
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
-    changes.position.version = StoreVersion(m_version);
+    changes.position = Position();
     co_return changes;
   };
   port.write = [this](TableWrite write,
@@ -299,6 +307,7 @@
       co_return Error{ResultCode::kPlatformUnavailable, "away", Ran::kNo};
     }
     TableWriteResult result;
+    result.era = era;
     const auto current = m_tables[write.table][write.key].version;
     result.applied = !write.expected || write.expected->value() == current;
     if (result.applied) {
@@ -321,6 +330,19 @@
   return rows->second.at(key).value;
 }
 
+FakeTable::Copy FakeTable::TakeCopy() const {
+  Copy copy;
+  copy.m_tables = m_tables;
+  copy.m_version = m_version;
+  return copy;
+}
+
+void FakeTable::Restore(const Copy& copy) {
+  m_tables = copy.m_tables;
+  m_version = copy.m_version;
+  era = StoreEra(era.value() + 1);
+}
+
 FakeGateway::FakeGateway(FakeGroup& fake)
     : settings(TestSettings()),
       events(VmId(settings.vm_id), 256),
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -93,7 +93,15 @@
   // Returns the value of a row, or an empty string if there is none.
   std::string Get(const std::string& table, const std::string& key) const;
 
+  // A copy of all rows at one moment.
+  class Copy;
+  Copy TakeCopy() const;
+  // Replaces all rows by those of `copy` and begins the next era. What was written since the copy
+  // is lost, and its versions are given out again.
+  void Restore(const Copy& copy);
+
   bool unavailable = false;
+  StoreEra era;
   // The store's clock.
   std::int64_t now_ms = 100'000;
   // Number of calls of any kind, including failed ones.
@@ -104,6 +112,15 @@
     std::string value;
     std::uint64_t version = 0;
   };
+  StorePosition Position() const { return {era, StoreVersion(m_version)}; }
+
+  std::map<std::string, std::map<std::string, Row>> m_tables;
+  std::uint64_t m_version = 0;
+};
+
+class FakeTable::Copy {
+ private:
+  friend class FakeTable;
   std::map<std::string, std::map<std::string, Row>> m_tables;
   std::uint64_t m_version = 0;
 };
