Followers compare answers of the store by era and version

Cause: TableFollower took row versions for comparable. After a restore they are given out again: a complete read with a lower version was dropped, so that feed (410) and read followed each other without a pause, and a change whose row had the version of the held row was dropped too.

Change: one rule, CompareToHeld in core/store_position.h. Relays pass the era on and refuse followers that are ahead of them. A read that brought nothing is followed by a pause.

Why it works: within an era the store loses nothing, so versions order its answers; between eras only the era does.

--- a/src/core/store_position.h
+++ b/src/core/store_position.h
@@ -27,4 +27,22 @@
 };
 BOOST_DESCRIBE_STRUCT(StorePosition, (), (era, version))
 
+// What an answer of the store means for rows read before it.
+enum class StoreOrder {
+  // The answer is older than the rows, for example one that arrived late. It must be ignored.
+  kOlder,
+  // The answer is as new as the rows or newer, in the same era.
+  kNotOlder,
+  // The store was restored since the rows were read. Only a complete read can replace them.
+  kRestored,
+};
+
+// Compares the position of an answer with that of the rows `held`. Pure and thread safe.
+inline StoreOrder CompareToHeld(const StorePosition& answer, const StorePosition& held) {
+  if (answer.era != held.era) {
+    return answer.era > held.era ? StoreOrder::kRestored : StoreOrder::kOlder;
+  }
+  return answer.version < held.version ? StoreOrder::kOlder : StoreOrder::kNotOlder;
+}
+
 }  // namespace cardamom
--- a/src/directory/table_follower.cc
+++ b/src/directory/table_follower.cc
@@ -67,7 +67,9 @@
     const bool read = co_await Refresh(m_table, Clock::now() + kReadTimeout);
     if (read) {
       co_await FollowChanges();
-    } else {
+    }
+    if (!read || !m_adopted_last_read) {
+      // A source that is behind this follower is not asked again at once.
       co_await Sleep(RetryDelay());
     }
   }
@@ -75,7 +77,8 @@
 
 asio::awaitable<void> TableFollower::FollowChanges() {
   while (!m_stopped) {
-    const auto changes = co_await m_table.follow(m_name, m_position, kFollowWait);
+    const auto after = m_position;
+    const auto changes = co_await m_table.follow(m_name, after, kFollowWait);
     if (!changes) {
       SetUpToDate(false, changes.error().detail);
       co_await Sleep(RetryDelay());
@@ -86,7 +89,13 @@
       co_return;
     }
     SetUpToDate(true, m_name + " followed");
-    AdoptChanges(*changes);
+    if (CompareToHeld(changes->position, after) != StoreOrder::kNotOlder) {
+      // The store numbered the changes in another era than `after`.
+      co_return;
+    }
+    if (after.era == m_position.era) {
+      AdoptChanges(*changes);
+    }
   }
 }
 
@@ -95,22 +104,22 @@
                      next.version.value(), m_position.era.value(), m_position.version.value());
 }
 
-void TableFollower::ObserveEra(const StorePosition& position) {
-  if (m_loaded && position.era > m_position.era) {
-    m_context.events.Emit(EventCode::kStoreRestored, {.detail = m_name + DescribeStep(position)});
-  }
-  m_context.metrics.SetStoreEra(position.era);
-}
-
 void TableFollower::AdoptAll(TableSnapshot snapshot) {
-  ObserveEra(snapshot.position);
-  if (m_loaded && snapshot.position.version < m_position.version) {
-    // The rows read before are newer.
+  const auto order =
+      m_loaded ? CompareToHeld(snapshot.position, m_position) : StoreOrder::kNotOlder;
+  m_adopted_last_read = order != StoreOrder::kOlder;
+  if (order == StoreOrder::kOlder) {
     m_context.events.Emit(EventCode::kStoreAnswerIgnored,
                           {.detail = m_name + DescribeStep(snapshot.position)});
     return;
   }
-  if (!m_loaded) {
+  if (order == StoreOrder::kRestored) {
+    m_context.events.Emit(EventCode::kStoreRestored,
+                          {.detail = m_name + DescribeStep(snapshot.position)});
+    m_restored_at = snapshot.position.version;
+    m_removed_rows.clear();
+  }
+  if (!m_loaded || order == StoreOrder::kRestored) {
     m_history_from = snapshot.position.version;
   }
   std::map<std::string, TableRow> rows;
@@ -120,14 +129,18 @@
     rows[std::move(key)] = std::move(row);
   }
   for (const auto& [key, row] : m_rows) {
-    if (!rows.contains(key)) {
+    if (!rows.contains(key) && order != StoreOrder::kRestored) {
       m_removed_rows[key] = snapshot.position.version;
     }
   }
   m_rows = std::move(rows);
   m_position = snapshot.position;
   m_loaded = true;
+  m_context.metrics.SetStoreEra(m_position.era);
   PruneRemovedRows();
+  if (order == StoreOrder::kRestored && m_on_restore) {
+    m_on_restore();
+  }
   if (m_on_change) {
     m_on_change();
   }
@@ -135,14 +148,10 @@
 }
 
 void TableFollower::AdoptChanges(const TableSnapshot& changes) {
-  ObserveEra(changes.position);
   bool changed = false;
   for (const auto& row : changes.rows) {
     const auto present = m_rows.find(row.key);
     if (present != m_rows.end() && present->second.version >= row.version) {
-      m_context.events.Emit(
-          EventCode::kStoreAnswerIgnored,
-          {.detail = m_name + DescribeStep(changes.position) + ", row " + row.key});
       continue;
     }
     changed = true;
@@ -206,15 +215,19 @@
     }
     return changes;
   };
-  const std::function<bool()> ready = [this, gather] {
-    return !m_up_to_date || !gather().rows.empty();
+  const std::function<bool()> ready = [this, after, gather] {
+    return !m_up_to_date || after.era != m_position.era || !gather().rows.empty();
   };
   co_await m_changed.WaitUntil(ready, Clock::now() + wait);
   if (!m_loaded || !m_up_to_date) {
     co_return Error{ResultCode::kPlatformUnavailable, m_name + " is not in step", Ran::kNo};
   }
-  if (after.version < m_history_from) {
+  if (after.era > m_position.era) {
+    co_return Error{ResultCode::kPlatformUnavailable, m_name + " is from an earlier era", Ran::kNo};
+  }
+  if (after.era < m_position.era || after.version < m_history_from) {
     TableSnapshot gone;
+    gone.position = m_position;
     gone.history_gone = true;
     co_return gone;
   }
--- a/src/directory/table_follower.h
+++ b/src/directory/table_follower.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "async/notifier.h"
@@ -26,6 +27,10 @@
 
   // Sets the function that is called after the table was read or rows changed.
   void set_on_change(std::function<void()> hook) { m_on_change = std::move(hook); }
+  // Sets the function that is called before the hook of set_on_change if the store was restored
+  // from an older copy since the last read. rows() then holds the rows of the copy and those
+  // written since.
+  void set_on_restore(std::function<void()> hook) { m_on_restore = std::move(hook); }
   // Sets the function that is called after each call to the store, with whether it was answered; it
   // is not called after one that returned `history_gone`.
   void set_on_store_call(std::function<void(bool reachable, const std::string& detail)> hook) {
@@ -48,9 +53,16 @@
   // Position of the store that rows() reflects.
   StorePosition position() const { return m_position; }
 
+  // Whether `row` of rows() may stem from the copy that the store was last restored from, so that
+  // this follower may have held a newer one before. False if no restore was observed.
+  bool MayBeFromCopy(const TableRow& row) const {
+    return m_restored_at && row.version <= *m_restored_at;
+  }
+
   // Returns the rows changed after position `after`, removed ones included, as soon as there are
   // any, or no rows after `wait`. Sets `history_gone` if not all of these changes are kept any
-  // more. Errors: kPlatformUnavailable while this follower is not up to date.
+  // more. Errors: kPlatformUnavailable while this follower is not up to date or has not read the
+  // era of `after` yet.
   asio::awaitable<Outcome<TableSnapshot>> WaitForChanges(StorePosition after, Millis wait);
   // Returns all rows. Errors: as Changes.
   Outcome<TableSnapshot> Snapshot() const;
@@ -61,8 +73,6 @@
  private:
   asio::awaitable<void> Run();
   asio::awaitable<void> FollowChanges();
-  // Reports a restore of the store that an answer at `position` reveals.
-  void ObserveEra(const StorePosition& position);
   std::string DescribeStep(const StorePosition& next) const;
   void AdoptAll(TableSnapshot snapshot);
   void AdoptChanges(const TableSnapshot& changes);
@@ -74,6 +84,7 @@
   TablePort m_table;
   const std::string m_name;
   std::function<void()> m_on_change;
+  std::function<void()> m_on_restore;
   std::function<void(bool, const std::string&)> m_on_store_call;
   std::map<std::string, TableRow> m_rows;
   // By key, the version at which a removed row was observed as removed; used by Changes().
@@ -81,7 +92,10 @@
   // The removed rows are complete only for changes after this version.
   StoreVersion m_history_from;
   StorePosition m_position;
+  // Version of the first complete read after the latest observed restore.
+  std::optional<StoreVersion> m_restored_at;
   bool m_loaded = false;
+  bool m_adopted_last_read = false;
   bool m_up_to_date = false;
   bool m_stopped = false;
   int m_failures = 0;
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -121,8 +121,8 @@
 struct PeerTableRequest {
   std::string table;
   std::optional<StoreVersion> after;
-  // Era of `after`.
-  StoreEra era;
+  // Era of `after`; not set by proxies of earlier versions.
+  std::optional<StoreEra> era;
   std::int64_t wait_ms = 0;
   // Set by a proxy that is starting: it accepts the rows that the peer has loaded, however old.
   bool any_age = false;
@@ -131,7 +131,8 @@
 
 struct PeerTableReply {
   std::vector<PeerRow> rows;
-  StoreEra era;
+  // Not set by proxies of earlier versions.
+  std::optional<StoreEra> era;
   StoreVersion version;
   bool history_gone = false;
 };
--- a/src/fleet/relayed_table.cc
+++ b/src/fleet/relayed_table.cc
@@ -43,8 +43,11 @@
   if (!reply) {
     return reply.error();
   }
+  if (!reply->era) {
+    return Unavailable("the peer does not report the era of its rows");
+  }
   TableSnapshot snapshot;
-  snapshot.position = {reply->era, reply->version};
+  snapshot.position = {*reply->era, reply->version};
   snapshot.history_gone = reply->history_gone;
   try {
     for (auto& row : reply->rows) {
