Fencing tokens and pending orders survive a restore of the store

Operators would see: two holders with the same token after a restore, and a commit lost that was acknowledged between two changes of primary.

Cause: the row that allocates tokens and marks a pending order may be an older copy, or gone. Tokens were then given out again, and a takeover could begin although an order was under way. A claim prepared before the restore could also match a version that was given out again.

Change: FenceStore keeps one row per group and era. A token carries its era in the upper half, so that tokens of a later era are greater. A claim counts only if the store was in the same era when it was read and written. The first claim in an era asks the servers: if all answer and none is paused, nothing is pending, since orders are only sent to paused groups; otherwise the proxy holds off as after any order and finishes it. Reservations of an earlier era are not used. Claim, mark and reservation share FenceStore.

--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -9,6 +9,7 @@
 #include "cardamom/strong.h"
 #include "core/clock.h"
 #include "core/json.h"
+#include "core/store_position.h"
 
 namespace cardamom {
 
@@ -50,6 +51,31 @@
 };
 BOOST_DESCRIBE_STRUCT(FenceRow, (), (token, holder, open, at_ms, reserved))
 
+// Tokens of one era of the store: those of a later era are greater, although the rows that
+// allocated the earlier ones may be lost.
+constexpr unsigned kTokenBitsPerEra = 32;
+
+// The era in which `token` was allocated. Pure and thread safe.
+inline StoreEra EraOfToken(std::uint64_t token) {
+  return StoreEra(token >> kTokenBitsPerEra);
+}
+
+// Key of the row of a group. Each era has rows of its own: a write that was prepared in one era and
+// is carried out in the next one, where its expected version was given out again, must not replace
+// a row of that era. Thread safe.
+inline std::string FenceRowKey(const GroupId& group, StoreEra era) {
+  return era == StoreEra() ? group.value() : group.value() + "@" + std::to_string(era.value());
+}
+
+// The row to start from in an era that has none. In all eras but 0 an order of an earlier era may
+// be pending, since the row that would show it may be lost. Pure and thread safe.
+inline FenceRow InitialFenceRow(StoreEra era) {
+  FenceRow row;
+  row.token = era.value() << kTokenBitsPerEra;
+  row.open = era > StoreEra();
+  return row;
+}
+
 // Whether a proxy that wants to promote may claim a token.
 enum class FenceClaim {
   kClaim,
@@ -70,7 +96,7 @@
 inline FenceClaim DecideFenceClaim(const FenceRow& row,
                                    const std::string& self,
                                    std::int64_t now_ms) {
-  if (row.token == 0 || row.holder == self) {
+  if (row.holder.empty() || row.holder == self) {
     return FenceClaim::kClaim;
   }
   const auto hold_off = row.open ? kHoldOffAfterOrder : kHoldOffBeforeOrder;
--- a/src/failover/outage_rules.cc
+++ b/src/failover/outage_rules.cc
@@ -51,6 +51,17 @@
   return std::nullopt;
 }
 
+bool ShowNoTakeover(const std::vector<EndpointId>& listed,
+                    const std::optional<EndpointId>& lost_primary,
+                    const std::vector<SurveyedServer>& servers) {
+  return std::all_of(listed.begin(), listed.end(), [&](const EndpointId& id) {
+    const auto server = std::find_if(servers.begin(), servers.end(), [&](const auto& surveyed) {
+      return surveyed.endpoint == id && surveyed.answered;
+    });
+    return server == servers.end() ? lost_primary == id : server->paused_at <= server->term;
+  });
+}
+
 bool IsStoreUnavailableForAll(const std::vector<StoreReport>& answers) {
   const auto unavailable = std::count(answers.begin(), answers.end(), StoreReport::kUnavailable);
   const bool reached =
--- a/src/failover/outage_rules.h
+++ b/src/failover/outage_rules.h
@@ -55,6 +55,13 @@
                                                    const std::optional<EndpointId>& lost_primary,
                                                    const std::vector<SurveyedServer>& servers);
 
+// Whether the servers show that no takeover is under way: all answered and none is paused. An order
+// is only sent to a group whose replicas are paused. `lost_primary` need not have answered. Pure
+// and thread safe.
+bool ShowNoTakeover(const std::vector<EndpointId>& listed,
+                    const std::optional<EndpointId>& lost_primary,
+                    const std::vector<SurveyedServer>& servers);
+
 // Whether another proxy reports the store as up to date or unavailable; kNoAnswer if the proxy did
 // not answer.
 enum class StoreReport { kNoAnswer, kUnavailable, kUpToDate };
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -66,6 +66,9 @@
   // after the process start, because nothing is known about the time before.
   bool WasStoreUnavailableWithin(Millis span) const;
 
+  // Era of the store in the latest list of servers.
+  StoreEra store_era() const { return m_servers_follower.position().era; }
+
   // Whether a configuration and a list of servers have been loaded.
   bool IsLoaded() const { return m_configuration.has_value() && m_has_servers; }
   // Waits for IsLoaded(). Returns false if it does not hold at `deadline`.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -81,6 +81,7 @@
     return m_fleet.IsFirstHome(group, MaxConnections(group));
   };
   hooks.store_unavailable_since = [this] { return m_directory.StoreUnavailableSince(); };
+  hooks.store_era = [this] { return m_directory.store_era(); };
   hooks.ask_other_homes = [this](GroupId group) -> asio::awaitable<std::vector<StoreReport>> {
     return AskAboutStore(m_context, m_homes, m_fleet.HomesOf(group, MaxConnections(group)),
                          m_fleet.self().id);
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -9,7 +9,6 @@
 namespace cardamom {
 namespace {
 
-constexpr const char* kFenceTable = "fences";
 constexpr Millis kStoreTimeout{800};
 constexpr Millis kOrderTimeout{300};
 // A server that restarted is in every proxy's list after this time: two heartbeats, the delay of
@@ -28,13 +27,14 @@
                                PromotionOrder order,
                                OutageHooks hooks)
     : m_context(context),
-      m_table(std::move(table)),
+      m_fences(std::move(table)),
       m_order(std::move(order)),
       m_hooks(std::move(hooks)) {}
 
 bool OutageTakeover::IsReservationUsable(const HeldReservation& held,
                                          const GroupClient& group) const {
   return held.reservation && !held.unusable && !held.ordered_successor &&
+         EraOfToken(held.reservation->token) == m_hooks.store_era() &&
          held.reservation->term == group.term() &&
          held.reservation->servers == group.SnapshotServerList().servers;
 }
@@ -42,6 +42,7 @@
 bool OutageTakeover::MayRun(const GroupId& group) const {
   const auto it = m_held.find(group);
   return it != m_held.end() && it->second.reservation && !it->second.unusable &&
+         EraOfToken(it->second.reservation->token) == m_hooks.store_era() &&
          m_hooks.store_unavailable_since();
 }
 
@@ -98,27 +99,28 @@
     co_return std::nullopt;
   }
   // The primary is asked for its term, since that of its last log entry may be older.
-  const std::vector<GroupClient::EndpointPtr> asked{primary};
+  std::vector<GroupClient::EndpointPtr> asked;
+  for (const auto& [id, endpoint] : group->endpoints()) {
+    asked.push_back(endpoint);
+  }
+  const auto loaded = co_await m_fences.Load(group->id(), Clock::now() + kStoreTimeout);
+  if (!loaded) {
+    co_return std::nullopt;
+  }
+  if (!loaded->IsHistoryLost()) {
+    asked = {primary};
+  }
   const ControlRequest question;
   const auto answers = co_await SendToServers(m_context, group, asked, question);
   const auto status = answers.statuses.find(primary->entry.id);
   if (status == answers.statuses.end() || !status->second.is_primary) {
     co_return std::nullopt;
   }
-  const auto rows = co_await m_table.read(kFenceTable, Clock::now() + kStoreTimeout);
-  if (!rows) {
-    co_return std::nullopt;
-  }
-  FenceRow row;
-  StoreVersion version;
-  for (const auto& found : rows->rows) {
-    if (found.key == group->id().value()) {
-      const auto decoded = DecodeJson<FenceRow>(found.value);
-      row = decoded ? *decoded : FenceRow();
-      version = found.version;
-    }
+  auto row = loaded->row;
+  if (loaded->IsHistoryLost()) {
+    row.open = !ShowNoTakeover(*group, answers.statuses);
   }
-  if (!MayReserve(snapshot, row, rows->now_ms)) {
+  if (!MayReserve(snapshot, row, loaded->now_ms)) {
     co_return std::nullopt;
   }
   TokenReservation wanted;
@@ -126,9 +128,9 @@
   wanted.term = status->second.term;
   wanted.servers = snapshot.servers;
   row = AddReservation(std::move(row), std::move(wanted));
-  TableWrite write{kFenceTable, group->id().value(), version, EncodeJson(row)};
-  const auto written = co_await m_table.write(std::move(write), Clock::now() + kStoreTimeout);
-  if (!written || !written->applied) {
+  const auto written =
+      co_await m_fences.Replace(group->id(), *loaded, row, Clock::now() + kStoreTimeout);
+  if (!written || !*written) {
     co_return std::nullopt;
   }
   co_return row.reserved;
@@ -152,11 +154,7 @@
   }
   const ControlRequest status_request{.opened_before = opened_before};
   const auto answers = co_await SendToServers(m_context, group, targets, status_request);
-  std::vector<SurveyedServer> servers;
-  for (const auto& [id, reported] : answers.statuses) {
-    servers.push_back({id, true, reported.is_primary, reported.term, reported.paused_at});
-  }
-  co_return servers;
+  co_return ToSurveyedServers(answers.statuses);
 }
 
 asio::awaitable<std::optional<EndpointId>> OutageTakeover::StopAndChooseSuccessor(
--- a/src/gateway/outage_takeover.h
+++ b/src/gateway/outage_takeover.h
@@ -8,6 +8,7 @@
 
 #include "directory/table_port.h"
 #include "failover/outage_rules.h"
+#include "gateway/fence_store.h"
 #include "gateway/server_poll.h"
 #include "gateway/takeover_result.h"
 
@@ -19,6 +20,8 @@
   std::function<bool(const GroupId& group)> is_reservation_owner;
   // When the server list was last up to date with the store, or nothing if it is now.
   std::function<std::optional<TimePoint>()> store_unavailable_since;
+  // Era of the store in its latest answer.
+  std::function<StoreEra()> store_era;
   // Asks the other homes of the group whether the store answers them.
   std::function<asio::awaitable<std::vector<StoreReport>>(GroupId group)> ask_other_homes;
 };
@@ -77,7 +80,7 @@
   TakeoverResult BackOff(const GroupClient& group, const std::string& reason);
 
   GatewayContext& m_context;
-  const TablePort m_table;
+  const FenceStore m_fences;
   const PromotionOrder m_order;
   const OutageHooks m_hooks;
   std::map<GroupId, HeldReservation> m_held;
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -154,6 +154,26 @@
   co_return false;
 }
 
+std::vector<SurveyedServer> ToSurveyedServers(const ServerStatuses& statuses) {
+  std::vector<SurveyedServer> servers;
+  servers.reserve(statuses.size());
+  for (const auto& [id, reported] : statuses) {
+    servers.push_back({id, true, reported.is_primary, reported.term, reported.paused_at});
+  }
+  return servers;
+}
+
+bool ShowNoTakeover(const GroupClient& group, const ServerStatuses& statuses) {
+  std::vector<EndpointId> listed;
+  for (const auto& [id, endpoint] : group.endpoints()) {
+    listed.push_back(id);
+  }
+  for (const auto& departed : group.Departed()) {
+    listed.push_back(departed.endpoint->entry.id);
+  }
+  return ShowNoTakeover(listed, group.primary_id(), ToSurveyedServers(statuses));
+}
+
 asio::awaitable<bool> WaitUntilPrimary(std::shared_ptr<GroupClient> group, EndpointId endpoint) {
   const auto deadline = Clock::now() + kPromotionTimeout;
   while (Clock::now() < deadline) {
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "failover/outage_rules.h"
 #include "failover/successor.h"
 #include "gateway/group_client.h"
 
@@ -41,6 +42,13 @@
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
                                       std::vector<StopResult> servers);
 
+// What the servers in `statuses` reported. Pure and thread safe.
+std::vector<SurveyedServer> ToSurveyedServers(const ServerStatuses& statuses);
+
+// Whether the servers of the group that are listed, or departed without notice, show that no
+// takeover is under way. Not thread safe.
+bool ShowNoTakeover(const GroupClient& group, const ServerStatuses& statuses);
+
 // Waits until `endpoint` is the primary. Returns false if that takes longer than 3 s, the longest
 // time that a promotion takes, or if the server is no longer listed. Not thread safe.
 asio::awaitable<bool> WaitUntilPrimary(std::shared_ptr<GroupClient> group, EndpointId endpoint);
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -10,7 +10,6 @@
 namespace cardamom {
 namespace {
 
-constexpr const char* kFenceTable = "fences";
 constexpr Millis kStoreTimeout{800};
 constexpr Millis kStoreTimeoutInOutage{200};
 constexpr Millis kControlTimeout{400};
@@ -42,7 +41,7 @@
                    OnStoreFailure on_store_failure,
                    OutageTakeover& outage)
     : m_context(context),
-      m_table(std::move(table)),
+      m_fences(std::move(table)),
       m_order(std::move(order)),
       m_refresh_servers(std::move(refresh_servers)),
       m_store_was_unavailable(std::move(store_was_unavailable)),
@@ -56,43 +55,54 @@
 asio::awaitable<Takeover::ClaimResult> Takeover::ClaimToken(const GroupClient& group) {
   // A proxy that may proceed without the store does not wait long for it again.
   const auto timeout = m_outage.MayRun(group.id()) ? kStoreTimeoutInOutage : kStoreTimeout;
-  const auto rows = co_await m_table.read(kFenceTable, Clock::now() + timeout);
-  if (!rows) {
+  const auto loaded = co_await m_fences.Load(group.id(), Clock::now() + timeout);
+  if (!loaded) {
     m_on_store_failure();
-    Log(EventCode::kPromotionFailed, group, "fence row: " + rows.error().detail);
+    Log(EventCode::kPromotionFailed, group, "fence row: " + loaded.error().detail);
     co_return ClaimResult{std::nullopt, true};
   }
-  Claim claim;
-  StoreVersion version;
-  for (const auto& row : rows->rows) {
-    if (row.key == group.id().value()) {
-      const auto decoded = DecodeJson<FenceRow>(row.value);
-      if (decoded) {
-        claim.row = *decoded;
-      }
-      version = row.version;
-    }
-  }
   const auto& self = m_context.settings.vm_id;
-  if (DecideFenceClaim(claim.row, self, rows->now_ms) == FenceClaim::kWait) {
+  if (DecideFenceClaim(loaded->row, self, loaded->now_ms) == FenceClaim::kWait) {
     co_return ClaimResult();
   }
+  Claim claim;
+  claim.row = loaded->row;
   claim.order_may_be_pending = claim.row.open;
+  claim.history_lost = loaded->IsHistoryLost();
   ++claim.row.token;
   claim.row.holder = self;
-  claim.row.at_ms = rows->now_ms;
+  claim.row.at_ms = loaded->now_ms;
   claim.valid_until = BootClock::now() + kTokenValidity;
-  TableWrite write{kFenceTable, group.id().value(), version, EncodeJson(claim.row)};
-  const auto written = co_await m_table.write(std::move(write), Clock::now() + kStoreTimeout);
-  if (!written || !written->applied) {
+  const auto written =
+      co_await m_fences.Replace(group.id(), *loaded, claim.row, Clock::now() + kStoreTimeout);
+  if (!written || !*written) {
     Log(EventCode::kPromotionFailed, group,
         written ? "another proxy took the token" : "token: " + written.error().detail);
     co_return ClaimResult{std::nullopt, !written};
   }
-  Log(EventCode::kTermAllocated, group, fmt::format("token {}", claim.row.token));
+  Log(EventCode::kTermAllocated, group,
+      fmt::format("token {}{}", claim.row.token,
+                  claim.history_lost ? ", the first one in this era of the store" : ""));
   co_return ClaimResult{claim, false};
 }
 
+asio::awaitable<bool> Takeover::HoldOffForEarlierEra(std::shared_ptr<GroupClient> group,
+                                                     Claim& claim,
+                                                     const ServerStatuses& statuses) {
+  if (!claim.history_lost) {
+    co_return false;
+  }
+  if (ShowNoTakeover(*group, statuses)) {
+    claim.order_may_be_pending = false;
+    const bool marked = co_await SetOrderPending(*group, claim, false);
+    co_return !marked;
+  }
+  Log(EventCode::kPromotionFailed, *group,
+      "waits for what was ordered in an earlier era of the store");
+  co_await Sleep(kHoldOffAfterOrder);
+  co_return true;
+}
+
 bool Takeover::MayBeStoppedByReservation(const GroupClient& group,
                                          const Claim& claim,
                                          const ServerStatuses& statuses) const {
@@ -106,22 +116,15 @@
 asio::awaitable<bool> Takeover::SetOrderPending(const GroupClient& group,
                                                 Claim& claim,
                                                 bool pending) {
-  const auto rows = co_await m_table.read(kFenceTable, Clock::now() + kStoreTimeout);
-  if (!rows) {
+  const auto loaded = co_await m_fences.Load(group.id(), Clock::now() + kStoreTimeout);
+  if (!loaded || loaded->row.token != claim.row.token) {
     co_return false;
   }
-  for (const auto& current : rows->rows) {
-    const auto decoded = DecodeJson<FenceRow>(current.value);
-    if (current.key != group.id().value() || !decoded || decoded->token != claim.row.token) {
-      continue;
-    }
-    claim.row.open = pending;
-    claim.row.at_ms = rows->now_ms;
-    TableWrite write{kFenceTable, group.id().value(), current.version, EncodeJson(claim.row)};
-    const auto written = co_await m_table.write(std::move(write), Clock::now() + kStoreTimeout);
-    co_return written && written->applied;
-  }
-  co_return false;
+  claim.row.open = pending;
+  claim.row.at_ms = loaded->now_ms;
+  const auto written =
+      co_await m_fences.Replace(group.id(), *loaded, claim.row, Clock::now() + kStoreTimeout);
+  co_return written&&* written;
 }
 
 asio::awaitable<void> Takeover::Resume(std::shared_ptr<GroupClient> group,
@@ -227,6 +230,9 @@
   const ControlRequest question;
   const auto answers = co_await SendToServers(m_context, group, all, question);
   const auto& statuses = answers.statuses;
+  if (co_await HoldOffForEarlierEra(group, *claim, statuses)) {
+    co_return TakeoverResult::kUnfinished;
+  }
   if (!claim->order_may_be_pending && MayBeStoppedByReservation(*group, *claim, statuses)) {
     Log(EventCode::kPromotionFailed, *group,
         fmt::format("waits for what was ordered with the reserved token {}",
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -10,6 +10,7 @@
 #include "directory/table_port.h"
 #include "failover/fence_row.h"
 #include "failover/successor.h"
+#include "gateway/fence_store.h"
 #include "gateway/outage_takeover.h"
 #include "gateway/server_poll.h"
 #include "gateway/takeover_result.h"
@@ -55,6 +56,9 @@
     FenceRow row;
     // An order of an earlier holder may still be pending.
     bool order_may_be_pending = false;
+    // The store holds no earlier row of the group in its era, so the row does not show what was
+    // ordered before the store was restored.
+    bool history_lost = false;
     // No order and no resume is sent after this time.
     BootTime valid_until;
   };
@@ -67,6 +71,12 @@
     bool store_unavailable = false;
   };
   asio::awaitable<ClaimResult> ClaimToken(const GroupClient& group);
+  // For the first claim in an era of the store: returns whether the attempt must end, after the
+  // time that an order of an earlier era may take. If the servers show that none is pending, writes
+  // so to the row.
+  asio::awaitable<bool> HoldOffForEarlierEra(std::shared_ptr<GroupClient> group,
+                                             Claim& claim,
+                                             const ServerStatuses& statuses);
   // Whether the holder of the reserved token may have stopped servers. The group's fence row does
   // not show whether it also sent an order.
   bool MayBeStoppedByReservation(const GroupClient& group,
@@ -94,7 +104,7 @@
   void Log(EventCode code, const GroupClient& group, const std::string& detail, Term term = {});
 
   GatewayContext& m_context;
-  const TablePort m_table;
+  const FenceStore m_fences;
   const PromotionOrder m_order;
   const RefreshServers m_refresh_servers;
   const StoreWasUnavailable m_store_was_unavailable;
--- a/tests/unit/outage_takeover_test.cc
+++ b/tests/unit/outage_takeover_test.cc
@@ -115,6 +115,18 @@
   EXPECT_TRUE(m_orders.empty());
 }
 
+// Guards against an order with a token whose row was lost in a restore: it is lower than any token
+// of the present era, and another proxy may have been reserved one since.
+TEST_F(OutageTakeoverTest, ATokenReservedInAnEarlierEraIsNotUsed) {
+  OpenReplicaLinks();
+  Reserve();
+  m_table.Restore(m_table.TakeCopy());
+  MakeStoreUnavailable();
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kBackedOff);
+  EXPECT_TRUE(m_orders.empty());
+}
+
 TEST_F(OutageTakeoverTest, AnUnansweredOrderIsRepeatedForTheSameServerOnly) {
   OpenReplicaLinks();
   Reserve();
--- a/tests/unit/store_restore_test.cc
+++ b/tests/unit/store_restore_test.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "fleet_fakes.h"
+#include "takeover_fixture.h"
 
 namespace cardamom::testing {
 namespace {
@@ -70,5 +71,92 @@
   EXPECT_LE(fleet.table.calls - before, 4U * 3U * 4U);
 }
 
+// Takeovers.
+
+class TakeoverRestoreTest : public TakeoverFixture {
+ protected:
+  std::uint64_t LastToken() const { return m_orders.back().second; }
+};
+
+// Guards against a fencing token that is given out twice (ONE on the bench), and against a lost
+// commit: the row that shows a pending order is gone, and the order is carried out while the next
+// holder works with other logs.
+TEST_F(TakeoverRestoreTest, APendingOrderOfAnEarlierEraIsFinishedWithAGreaterToken) {
+  const auto copy = m_table.TakeCopy();
+  m_fake_group.server(0).unresponsive = true;
+  m_lose_answer = true;
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kUnfinished);
+  ASSERT_EQ(m_orders.size(), 1U);
+  const auto token = LastToken();
+  m_table.Restore(copy);
+  m_lose_answer = false;
+  const auto restored_at = Clock::now();
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kUnfinished);
+  EXPECT_GE(Clock::now() - restored_at, kHoldOffAfterOrder);
+  EXPECT_EQ(m_orders.size(), 1U);
+  EXPECT_GT(m_fake_group.server(1).paused_at, m_fake_group.server(1).term);
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kHasPrimary);
+  ASSERT_EQ(m_orders.size(), 2U);
+  EXPECT_GT(LastToken(), token);
+}
+
+// Two restores from the same copy, with a change of primary before, between and after them.
+TEST_F(TakeoverRestoreTest, TokensGrowOverTwoRestores) {
+  const auto copy = m_table.TakeCopy();
+  std::vector<std::uint64_t> tokens;
+  for (int era = 0; era < 3; ++era) {
+    m_fake_group.server(static_cast<std::size_t>(era % 2)).entry.leaving = true;
+    m_fake_group.server(static_cast<std::size_t>(1 - era % 2)).entry.leaving = false;
+    EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kLeaving));
+    tokens.push_back(LastToken());
+    m_table.Restore(copy);
+  }
+  EXPECT_LT(tokens[0], tokens[1]);
+  EXPECT_LT(tokens[1], tokens[2]);
+}
+
+// A lost row must not delay a failover of a group whose servers show that nothing is pending.
+TEST_F(TakeoverRestoreTest, TheFirstFailoverInAnEraDoesNotWaitIfNoServerIsPaused) {
+  m_table.Restore(m_table.TakeCopy());
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_FALSE(Row().open);
+}
+
+// Guards against a row of the present era that is replaced by a write that was prepared before the
+// restore, whose expected version was given out again.
+TEST_F(TakeoverRestoreTest, AWritePreparedInAnEarlierEraClaimsNothing) {
+  const FenceStore fences(m_table.Port());
+  const auto deadline = Clock::now() + Millis(1000);
+  const GroupId group("orders");
+  const auto copy = m_table.TakeCopy();
+  const FenceRow earlier_claim{1, "vm-1"};
+  const FenceRow late_claim{2, "vm-1"};
+  m_gateway.Run([&]() -> asio::awaitable<void> {
+    const auto first = co_await fences.Load(group, deadline);
+    co_await fences.Replace(group, *first, earlier_claim, deadline);
+    const auto late = co_await fences.Load(group, deadline);
+    m_table.Restore(copy);
+    const auto fresh = co_await fences.Load(group, deadline);
+    EXPECT_TRUE(fresh->IsHistoryLost());
+    auto row = fresh->row;
+    row.holder = "vm-2";
+    ++row.token;
+    const auto claimed = co_await fences.Replace(group, *fresh, row, deadline);
+    EXPECT_TRUE(claimed && *claimed);
+    const auto replaced = co_await fences.Replace(group, *late, late_claim, deadline);
+    EXPECT_TRUE(replaced && !*replaced);
+    const auto after = co_await fences.Load(group, deadline);
+    EXPECT_EQ(after->row.holder, "vm-2");
+    EXPECT_EQ(after->row.token, row.token);
+  });
+}
+
+TEST(FenceRowTest, TokensOfALaterEraAreGreater) {
+  const auto last_of_first = InitialFenceRow(StoreEra(1)).token + 1'000'000;
+  EXPECT_GT(InitialFenceRow(StoreEra(2)).token, last_of_first);
+  EXPECT_EQ(EraOfToken(last_of_first), StoreEra(1));
+}
+
 }  // namespace
 }  // namespace cardamom::testing
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -51,6 +51,7 @@
     OutageHooks hooks;
     hooks.is_reservation_owner = [](const GroupId& /*group*/) { return true; };
     hooks.store_unavailable_since = [this] { return m_store_unavailable_since; };
+    hooks.store_era = [this] { return m_table.era; };
     hooks.ask_other_homes = [this](GroupId /*group*/) -> asio::awaitable<std::vector<StoreReport>> {
       co_return m_other_home_reports;
     };
@@ -77,7 +78,8 @@
   bool EndsWithPrimary(TakeoverReason reason) { return Run(reason) == TakeoverResult::kHasPrimary; }
 
   FenceRow Row() {
-    const auto row = DecodeJson<FenceRow>(m_table.Get("fences", "orders"));
+    const auto key = FenceRowKey(GroupId("orders"), m_table.era);
+    const auto row = DecodeJson<FenceRow>(m_table.Get("fences", key));
     return row ? *row : FenceRow();
   }
 
