A restored list of servers does not bring departed ones back

Cause: the list was taken as it stood. The copy shows servers ready that have left since, or are leaving, and lacks those that registered since.

Change: ServerList remembers the latest report of each server, ordered by start and sequence, for ten minutes after it departed. Rows that may stem from the copy (their version is at most that of the first read after the restore) do not replace a later report. Missing entries are retained as after an outage, also by a proxy that noticed none, and the list of a group counts as complete again after list-return-ms, so that no takeover or reservation starts before.

Evidence: ServerListRestoreTest (three tests) and StorePositionProperty; the API is new, so they were not run on the code before.

--- a/src/directory/endpoint_entry.h
+++ b/src/directory/endpoint_entry.h
@@ -23,6 +23,8 @@
   // Start of the server in Unix milliseconds. A different value means that the server restarted and
   // kept nothing of its earlier state.
   std::int64_t started_ms = 0;
+  // Count of what the server has reported since its start, which orders its reports.
+  std::int64_t sequence = 0;
 
   bool operator==(const EndpointEntry&) const = default;
 };
--- a/src/directory/server_list.cc
+++ b/src/directory/server_list.cc
@@ -1,10 +1,46 @@
 #include "directory/server_list.h"
 
+#include <tuple>
 #include <utility>
 
 namespace cardamom {
+namespace {
 
-void ServerList::OnEntries(const std::vector<EndpointEntry>& entries, TimePoint now) {
+// How long the last report of a departed server is remembered: longer than the age of any copy that
+// a store is restored from.
+constexpr std::chrono::minutes kDepartedMemory{10};
+
+}  // namespace
+
+std::optional<EndpointEntry> ServerList::ResolveCopied(const EndpointEntry& entry) const {
+  const auto it = m_known.find(entry.id);
+  if (it == m_known.end()) {
+    return entry;
+  }
+  const auto& known = it->second;
+  const auto copied = std::tie(entry.started_ms, entry.sequence);
+  const auto latest = std::tie(known.entry.started_ms, known.entry.sequence);
+  if (copied > latest) {
+    return entry;
+  }
+  return known.departed ? std::nullopt : std::optional(known.entry);
+}
+
+void ServerList::RecordKnown(TimePoint now) {
+  for (auto& [id, known] : m_known) {
+    known.departed = !m_entries.contains(id) && !m_retained.contains(id);
+  }
+  for (const auto& [id, entry] : m_entries) {
+    m_known[id] = {entry, false, now};
+  }
+  std::erase_if(m_known, [now](const auto& item) {
+    return item.second.departed && now - item.second.seen_at > kDepartedMemory;
+  });
+}
+
+void ServerList::OnEntries(const std::vector<EndpointEntry>& entries,
+                           TimePoint now,
+                           const std::set<EndpointId>& from_copy) {
   if (m_store_failing) {
     m_store_failing = false;
     m_has_store_recovered = true;
@@ -14,8 +50,11 @@
   const auto before = std::move(m_entries);
   m_entries.clear();
   for (const auto& entry : entries) {
-    m_entries[entry.id] = entry;
-    m_retained.erase(entry.id);
+    const auto listed = from_copy.contains(entry.id) ? ResolveCopied(entry) : std::optional(entry);
+    if (listed) {
+      m_entries[entry.id] = *listed;
+      m_retained.erase(entry.id);
+    }
   }
   for (const auto& [id, entry] : before) {
     if (!m_entries.contains(id)) {
@@ -27,6 +66,7 @@
     const bool within_retention = !missing.entry.leaving && now - missing.since < m_retention;
     return !store_recovering && !within_retention;
   });
+  RecordKnown(now);
 }
 
 std::vector<EndpointEntry> ServerList::Entries() const {
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -34,6 +34,7 @@
   m_configuration_follower.set_on_change([this] { AdoptConfiguration(); });
   m_configuration_follower.set_on_store_call(on_store_call);
   m_servers_follower.set_on_change([this] { AdoptServers(); });
+  m_servers_follower.set_on_restore([this] { OnServersRestored(); });
   m_servers_follower.set_on_store_call(on_store_call);
   m_fleet.set_on_change([this] { UpdateGroups(); });
 }
@@ -91,12 +92,18 @@
 void Directory::AdoptConfiguration() {
   const auto& rows = m_configuration_follower.rows();
   const auto row = rows.find(m_decoders.configuration_key);
-  if (row == rows.end()) {
+  if (row != rows.end()) {
+    OfferConfiguration(row->second);
+  }
+}
+
+void Directory::OfferConfiguration(const TableRow& row) {
+  if (row.key != m_decoders.configuration_key || row.gone) {
     return;
   }
-  auto configuration = m_decoders.configuration(row->second.value);
+  auto configuration = m_decoders.configuration(row.value);
   if (!configuration) {
-    m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = row->first});
+    m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = row.key});
     return;
   }
   if (m_configuration && configuration->version <= m_configuration->version) {
@@ -105,29 +112,46 @@
   m_context.events.Emit(
       EventCode::kConfigAdopted,
       {.detail = fmt::format("version {} with {} routes, row version {}", configuration->version,
-                             configuration->routes.size(), row->second.version.value())});
+                             configuration->routes.size(), row.version.value())});
   m_context.metrics.SetConfiguration(configuration->version);
+  m_configuration_text = row.value;
   m_configuration = std::move(configuration);
   UpdateGroups();
   m_changed.NotifyAll();
 }
 
+void Directory::ReplaceByConfigurationInForce(const std::string& table,
+                                              std::vector<TableRow>& rows) const {
+  if (table != m_decoders.configuration_table || m_configuration_text.empty()) {
+    return;
+  }
+  for (auto& row : rows) {
+    if (row.key == m_decoders.configuration_key && !row.gone) {
+      row.value = m_configuration_text;
+    }
+  }
+}
+
 asio::awaitable<bool> Directory::RefreshServers() {
   co_return co_await m_servers_follower.Refresh(m_store_port, Clock::now() + kReadTimeout);
 }
 
 void Directory::AdoptServers() {
   std::vector<EndpointEntry> entries;
+  std::set<EndpointId> from_copy;
   for (const auto& [key, row] : m_servers_follower.rows()) {
     auto entry = m_decoders.server(key, row.value);
     if (entry) {
+      if (m_servers_follower.MayBeFromCopy(row)) {
+        from_copy.insert(entry->id);
+      }
       entries.push_back(std::move(*entry));
     } else if (m_unreadable[key] != row.version) {
       m_unreadable[key] = row.version;
       m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = "server " + key});
     }
   }
-  m_servers.OnEntries(entries, Clock::now());
+  m_servers.OnEntries(entries, Clock::now(), from_copy);
   const bool first = !m_has_servers;
   m_has_servers = true;
   UpdateGroups();
@@ -139,6 +163,13 @@
   }
 }
 
+void Directory::OnServersRestored() {
+  m_servers.OnStoreRestored();
+  for (const auto& [id, group] : m_groups) {
+    group->ExpectListChanges(Millis(m_context.settings.list_return_ms));
+  }
+}
+
 void Directory::RecheckServers() {
   if (m_rechecking) {
     return;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -74,6 +74,13 @@
   // Waits for IsLoaded(). Returns false if it does not hold at `deadline`.
   asio::awaitable<bool> WaitUntilLoaded(TimePoint deadline);
 
+  // Applies the configuration in `row` if its version is greater than that of the one in force. A
+  // peer may hold a greater one than a store that was restored from an older copy.
+  void OfferConfiguration(const TableRow& row);
+  // Replaces the value of the configuration's row in `rows` of the table `table` by the
+  // configuration in force, if any.
+  void ReplaceByConfigurationInForce(const std::string& table, std::vector<TableRow>& rows) const;
+
   // Precondition: IsLoaded().
   const Configuration& configuration() const { return *m_configuration; }
   // The route of a database, or nullptr if the configuration has none. The pointer is valid until
@@ -98,6 +105,7 @@
  private:
   void AdoptConfiguration();
   void AdoptServers();
+  void OnServersRestored();
   // Schedules another AdoptServers after `list_return_ms`, when missing entries may be dropped.
   void RecheckServers();
   void UpdateGroups();
@@ -113,6 +121,8 @@
   TableFollower m_configuration_follower;
   TableFollower m_servers_follower;
   std::optional<Configuration> m_configuration;
+  // The row's value that m_configuration was decoded from.
+  std::string m_configuration_text;
   bool m_has_servers = false;
   bool m_store_reachable = true;
   TimePoint m_store_failed_at;
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -189,7 +189,8 @@
 }
 
 bool GroupClient::IsListSettled() const {
-  return m_first_listed && Clock::now() - *m_first_listed > kListSettles;
+  const auto now = Clock::now();
+  return m_first_listed && now - *m_first_listed > kListSettles && now >= m_list_settles_at;
 }
 
 bool GroupClient::IsAtConnectionLimit() const {
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -139,6 +139,8 @@
   std::vector<DepartedServer> Departed() const;
   // The servers as the list shows them.
   ServerListSnapshot SnapshotServerList() const;
+  // Servers may be missing from the list for `span`, in which IsListSettled() does not hold.
+  void ExpectListChanges(Millis span) { m_list_settles_at = Clock::now() + span; }
   // Whether the server list has been read for long enough to be complete.
   bool IsListSettled() const;
   // Whether a server reported within the last second that it is too busy or at its connection
@@ -187,6 +189,7 @@
   std::map<EndpointId, EndpointPtr> m_endpoints;
   std::vector<DepartedServer> m_departed;
   std::optional<TimePoint> m_first_listed;
+  TimePoint m_list_settles_at;
   TimePoint m_connection_limit_seen_at;
   std::optional<EndpointId> m_primary;
   Term m_term;
--- a/tests/unit/store_restore_test.cc
+++ b/tests/unit/store_restore_test.cc
@@ -1,9 +1,11 @@
 // The store comes back from an older copy of itself: what was written since the copy is gone, and
 // its versions are given out again.
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <fmt/format.h>
 
+#include "directory/server_list.h"
 #include "fleet_fakes.h"
 #include "takeover_fixture.h"
 
@@ -71,6 +73,76 @@
   EXPECT_LE(fleet.table.calls - before, 4U * 3U * 4U);
 }
 
+EndpointEntry ReportOf(const char* id, std::int64_t sequence, bool leaving) {
+  EndpointEntry entry;
+  entry.id = EndpointId(id);
+  entry.started_ms = 1000;
+  entry.sequence = sequence;
+  entry.leaving = leaving;
+  return entry;
+}
+
+// Guards against requests to a server that has left or is leaving (DRAIN on the bench), because the
+// copy shows it ready.
+TEST(ServerListRestoreTest, TheCopyDoesNotUndoADeparture) {
+  ServerList list(Millis(2200));
+  TimePoint now = Clock::now();
+  list.OnEntries({ReportOf("left", 1, false), ReportOf("leaving", 1, false)}, now);
+  list.OnEntries({ReportOf("left", 2, true), ReportOf("leaving", 2, true)}, now);
+  list.OnEntries({ReportOf("leaving", 2, true)}, now);
+  now += Millis(10'000);
+  const std::set<EndpointId> from_copy{EndpointId("left"), EndpointId("leaving")};
+  list.OnStoreRestored();
+  list.OnEntries({ReportOf("left", 1, false), ReportOf("leaving", 1, false)}, now, from_copy);
+  ASSERT_EQ(list.Entries().size(), 1U);
+  EXPECT_EQ(list.Entries().front().id, EndpointId("leaving"));
+  EXPECT_TRUE(list.Entries().front().leaving);
+}
+
+TEST(ServerListRestoreTest, AReportAfterTheRestoreIsBelieved) {
+  ServerList list(Millis(2200));
+  TimePoint now = Clock::now();
+  list.OnEntries({ReportOf("a", 4, true)}, now);
+  list.OnEntries({}, now);
+  list.OnStoreRestored();
+  // It registered again under its id, with a clock that was set back.
+  auto restarted = ReportOf("a", 0, false);
+  restarted.started_ms = 500;
+  list.OnEntries({restarted}, now);
+  ASSERT_EQ(list.Entries().size(), 1U);
+  EXPECT_FALSE(list.Entries().front().leaving);
+}
+
+// A server that registered after the copy was taken is missing until it registers again, and its
+// log may be the only one that holds a commit.
+TEST(ServerListRestoreTest, AServerThatTheCopyLacksIsRetained) {
+  ServerList list(Millis(2200));
+  TimePoint now = Clock::now();
+  list.OnEntries({ReportOf("a", 1, false), ReportOf("new", 1, false)}, now);
+  now += Millis(5000);
+  list.OnStoreRestored();
+  list.OnEntries({ReportOf("a", 1, false)}, now, {EndpointId("a")});
+  EXPECT_EQ(list.Entries().size(), 2U);
+  now += Millis(2300);
+  list.OnEntries({ReportOf("a", 1, false)}, now, {EndpointId("a")});
+  EXPECT_EQ(list.Entries().size(), 1U);
+}
+
+// The rule of order: an answer of an earlier era never replaces one of a later era, and versions
+// decide only within an era.
+RC_GTEST_PROP(StorePositionProperty, ErasGoBeforeVersions, ()) {
+  const auto position = [] {
+    return StorePosition{StoreEra(*rc::gen::inRange<std::uint64_t>(0, 3)),
+                         StoreVersion(*rc::gen::inRange<std::uint64_t>(0, 5))};
+  };
+  const auto held = position();
+  const auto answer = position();
+  const auto order = CompareToHeld(answer, held);
+  RC_ASSERT((order == StoreOrder::kRestored) == (answer.era > held.era));
+  RC_ASSERT((order == StoreOrder::kOlder) == (answer < held));
+  RC_ASSERT(CompareToHeld(held, held) == StoreOrder::kNotOlder);
+}
+
 // Takeovers.
 
 class TakeoverRestoreTest : public TakeoverFixture {
