A proxy that starts takes the greatest configuration of its peers

Callers would see: requests handled by a withdrawn configuration at a proxy that started after a restore of the store, until the operator wrote again.

Cause: a starting proxy believed the store alone, and relays passed on the row of the copy.

Change: after the members are loaded a starting proxy asks up to four peers for their configuration, all at once and for at most 250 ms before it is ready; the greatest version wins, also one that arrives later. Peers answer with the configuration in force instead of the row of the copy.

--- a/src/fleet/peer_service.cc
+++ b/src/fleet/peer_service.cc
@@ -85,7 +85,8 @@
   if (request->any_age) {
     snapshot = table.LatestSnapshot();
   } else if (is_from_store && request->after) {
-    snapshot = co_await table.WaitForChanges({request->era.value_or(table.position().era), *request->after}, wait);
+    snapshot = co_await table.WaitForChanges(
+        {request->era.value_or(table.position().era), *request->after}, wait);
   } else if (is_from_store) {
     snapshot = table.Snapshot();
   }
@@ -94,6 +95,7 @@
     response.body = snapshot.error().detail;
     co_return response;
   }
+  m_directory.ReplaceByConfigurationInForce(table.name(), snapshot->rows);
   PeerTableReply reply;
   reply.era = snapshot->position.era;
   reply.version = snapshot->position.version;
--- a/src/fleet/relayed_table.cc
+++ b/src/fleet/relayed_table.cc
@@ -150,7 +150,7 @@
   co_return Unavailable(std::move(reason));
 }
 
-asio::awaitable<Outcome<TableSnapshot>> RelayedTable::ReadFromAnyPeer(std::string table) {
+std::vector<VmEntry> RelayedTable::PeersToAsk() const {
   std::vector<std::string> seeds;
   boost::split(seeds, m_context.settings.seeds, boost::is_any_of(","));
   auto peers = RankVms(m_fleet.vms(), m_fleet.self().id.value());
@@ -160,19 +160,46 @@
     vm.peer_address = seed;
     peers.push_back(std::move(vm));
   }
-  std::size_t asked = 0;
-  for (const auto& vm : peers) {
-    if (vm.peer_address == m_fleet.self().peer_address || vm.peer_address.empty() ||
-        asked++ >= kMaxPeersAsked) {
-      continue;
-    }
+  std::erase_if(peers, [this](const VmEntry& vm) {
+    return vm.peer_address == m_fleet.self().peer_address || vm.peer_address.empty();
+  });
+  peers.resize(std::min(peers.size(), kMaxPeersAsked));
+  return peers;
+}
+
+asio::awaitable<Outcome<TableSnapshot>> RelayedTable::ReadFromAnyPeer(std::string table) {
+  for (const auto& vm : PeersToAsk()) {
     PeerTableRequest request{.table = table, .any_age = true};
     auto answer = co_await Ask(vm, std::move(request), Clock::now() + kRelayReadTimeout);
     if (answer && answer->position != StorePosition()) {
       co_return answer;
     }
   }
-  co_return Unavailable("nobody knows " + table);
+  co_return Unavailable("no peer has loaded " + table);
+}
+
+asio::awaitable<void> RelayedTable::AskPeers(std::string table,
+                                             std::function<void(const TableSnapshot&)> on_answer) {
+  struct Pending {
+    std::size_t count = 0;
+    Notifier changed;
+  };
+  const auto pending = std::make_shared<Pending>();
+  const auto peers = PeersToAsk();
+  pending->count = peers.size();
+  for (const auto& vm : peers) {
+    Spawn(m_context.io, [this, vm, table, on_answer, pending]() -> asio::awaitable<void> {
+      PeerTableRequest request{.table = table, .any_age = true};
+      const auto answer = co_await Ask(vm, std::move(request), Clock::now() + kRelayReadTimeout);
+      if (answer) {
+        on_answer(*answer);
+      }
+      --pending->count;
+      pending->changed.NotifyAll();
+    });
+  }
+  const std::function<bool()> done = [pending] { return pending->count == 0; };
+  co_await pending->changed.WaitUntil(done, Clock::now() + kFirstStoreAnswerTimeout);
 }
 
 asio::awaitable<Outcome<TableSnapshot>> RelayedTable::ReadStore(std::string table,
--- a/src/fleet/relayed_table.h
+++ b/src/fleet/relayed_table.h
@@ -1,8 +1,10 @@
 // Reads and follows the store's tables: relays ask the store, the other proxies ask the relays.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "fleet/fleet.h"
 #include "fleet/home_client.h"
@@ -28,6 +30,12 @@
   // port.
   TablePort Port();
 
+  // Asks some members of the list and the configured seeds for the rows of `table` that they have
+  // loaded, all at once. Calls `on_answer` for each answer; returns once all have answered, or
+  // after 250 ms, though later answers are passed on too.
+  asio::awaitable<void> AskPeers(std::string table,
+                                 std::function<void(const TableSnapshot&)> on_answer);
+
   // Whether the last answer for `table` came from the store itself, so that peers may rely on it.
   bool IsFromStore(const std::string& table) const;
 
@@ -48,6 +56,8 @@
   asio::awaitable<Outcome<TableSnapshot>> Ask(VmEntry vm,
                                               PeerTableRequest request,
                                               TimePoint deadline);
+  // Members of the list and the configured seeds, without this proxy; at most kMaxPeersAsked.
+  std::vector<VmEntry> PeersToAsk() const;
   asio::awaitable<bool> WaitUntilSettled(TimePoint deadline);
   Millis StoreWait(const std::string& table) const;
   // Whether this proxy may ask the store now. While the store does not answer, a proxy that is not
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Millis kHousekeepingInterval{100};
+constexpr Millis kMembersPollInterval{25};
 constexpr Millis kStopPoll{50};
 // Part of the stop limit that is reserved for sending the last replies.
 constexpr Millis kFinalReplyReserve{700};
@@ -94,11 +95,26 @@
   m_fleet.Start(m_relayed.Port());
   m_directory.Start();
   m_coordinator.Start();
+  Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await AskPeersForConfiguration(); });
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Housekeeping(); });
 }
 
 bool Gateway::IsReady() const {
-  return !m_stopping && m_directory.IsLoaded() && m_fleet.IsSettled();
+  return !m_stopping && m_directory.IsLoaded() && m_fleet.IsSettled() && m_asked_peers;
+}
+
+asio::awaitable<void> Gateway::AskPeersForConfiguration() {
+  while (!m_fleet.follower().IsLoaded()) {
+    co_await Sleep(kMembersPollInterval);
+  }
+  const std::string table = m_directory.configuration_follower().name();
+  const std::function<void(const TableSnapshot&)> offer = [this](const TableSnapshot& snapshot) {
+    for (const auto& row : snapshot.rows) {
+      m_directory.OfferConfiguration(row);
+    }
+  };
+  co_await m_relayed.AskPeers(table, offer);
+  m_asked_peers = true;
 }
 
 asio::awaitable<void> Gateway::Housekeeping() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -53,6 +53,9 @@
   asio::awaitable<HttpResponse> HandleOperations(HttpRequest request);
 
  private:
+  // Takes the greatest configuration that a peer holds: after a restore of the store that of a peer
+  // may be greater than the store's.
+  asio::awaitable<void> AskPeersForConfiguration();
   asio::awaitable<void> Housekeeping();
   std::shared_ptr<StatementPath> FindPath(const Route& route);
   OutageHooks MakeOutageHooks();
@@ -75,6 +78,7 @@
   Takeover m_takeover;
   TakeoverCoordinator m_coordinator;
   bool m_stopping = false;
+  bool m_asked_peers = false;
 };
 
 }  // namespace cardamom
--- a/tests/unit/store_restore_test.cc
+++ b/tests/unit/store_restore_test.cc
@@ -73,6 +73,19 @@
   EXPECT_LE(fleet.table.calls - before, 4U * 3U * 4U);
 }
 
+// Guards against a configuration that comes back older: a proxy that starts between the restore and
+// the operator's next write reads the copy.
+TEST(StoreRestoreTest, AProxyThatStartsOnTheCopyTakesTheConfigurationOfItsPeers) {
+  FakeFleet fleet(4, 2, 32);
+  const auto copy = fleet.table.TakeCopy();
+  fleet.Configure(5, Millis(700));
+  ASSERT_TRUE(fleet.RunUntil([&] { return CountAdopted(fleet, 5) == 4; }, kConfigApply));
+  fleet.table.Restore(copy);
+  auto& started = fleet.Add("domain-0", "");
+  ASSERT_TRUE(fleet.RunUntil([&] { return started.gateway->IsReady(); }, Millis(5000)));
+  EXPECT_EQ(CountAdopted(fleet, 5), 5U);
+}
+
 EndpointEntry ReportOf(const char* id, std::int64_t sequence, bool leaving) {
   EndpointEntry entry;
   entry.id = EndpointId(id);
