Members that left stay gone after a restore, lost rows are spread

Operators would see: a proxy that left is a home and a relay again at all others, and 1,900 proxies that write their lost rows in one moment.

Cause: the list of members was taken from the copy as it stood, and a proxy wrote its lost row at once.

Change: a leaving mark that was seen holds until the row is written anew. A running proxy writes its lost row after a random time of up to 5 ms for each member.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <random>
 
 #include <fmt/format.h>
 
@@ -18,6 +19,14 @@
 // with this one.
 constexpr Millis kSettleTime{500};
 constexpr Millis kSettlePollInterval{50};
+// Running proxies whose rows the store has lost write them within this time for each member, so
+// that the store receives at most 200 such writes a second.
+constexpr Millis kRegisterSpreadPerVm{5};
+
+Millis RandomSpread(Millis longest) {
+  static thread_local std::minstd_rand random{std::random_device{}()};
+  return Millis(std::uniform_int_distribution<std::int64_t>(0, longest.count())(random));
+}
 
 }  // namespace
 
@@ -76,6 +85,10 @@
 }
 
 asio::awaitable<void> Fleet::Register() {
+  if (m_settled) {
+    // The rows of many proxies may have been lost at once.
+    co_await Sleep(RandomSpread(kRegisterSpreadPerVm * static_cast<int>(m_vms.size())));
+  }
   bool written = false;
   while (!written && !m_leaving) {
     written = co_await WriteOwnRow(false, Clock::now() + kWriteTimeout);
@@ -98,7 +111,12 @@
   RegisterIfNeeded();
   for (const auto& [key, row] : m_follower.rows()) {
     const auto entry = DecodeJson<VmEntry>(row.value);
-    if (entry && !entry->leaving && entry->capacity > 0) {
+    if (entry && entry->leaving) {
+      m_left.insert(key);
+    } else if (!m_follower.MayBeFromCopy(row)) {
+      m_left.erase(key);
+    }
+    if (entry && entry->capacity > 0 && !m_left.contains(key)) {
       vms[key] = *entry;
     }
   }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -94,6 +94,9 @@
   TableFollower m_follower;
   std::function<void()> m_on_change;
   std::map<std::string, VmEntry> m_vms;
+  // Proxies whose row showed that they leave, until the row is written anew. A store that was
+  // restored from an older copy may show them as members again.
+  std::set<std::string> m_left;
   std::size_t m_domain_count = 1;
   // Cached homes by group; cleared when the list changes.
   mutable std::map<GroupId, HomeAssignment> m_homes;
--- a/tests/unit/store_restore_test.cc
+++ b/tests/unit/store_restore_test.cc
@@ -86,6 +86,43 @@
   EXPECT_EQ(CountAdopted(fleet, 5), 5U);
 }
 
+std::string LastMembers(FakeVm& vm) {
+  const auto events = vm.Events(EventCode::kMembersChanged);
+  return events.empty() ? "" : events.back().subject.detail;
+}
+
+// Guards against a proxy that stays off the list because its row was lost.
+TEST(StoreRestoreTest, AProxyWhoseRowWasLostIsListedAgain) {
+  FakeFleet fleet(4, 2, 32);
+  const auto copy = fleet.table.TakeCopy();
+  auto& added = fleet.Add("domain-1", "");
+  ASSERT_TRUE(fleet.RunUntil([&] { return added.gateway->IsReady(); }, Millis(5000)));
+  fleet.table.Restore(copy);
+  ASSERT_EQ(fleet.table.Get("members", added.settings.vm_id), "");
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] { return !fleet.table.Get("members", added.settings.vm_id).empty(); }, Millis(6000)));
+}
+
+// Guards against a proxy that left and is a home or a relay again, because the copy lists it.
+TEST(StoreRestoreTest, AProxyThatLeftBeforeTheRestoreStaysGone) {
+  FakeFleet fleet(4, 2, 32);
+  VmEntry other;
+  other.id = VmId("gone");
+  other.peer_address = "127.0.0.1:1";
+  other.domain = FailureDomain("domain-0");
+  fleet.table.Put("members", "gone", EncodeJson(other));
+  const auto copy = fleet.table.TakeCopy();
+  const auto lists = [&](const char* count) {
+    return [&fleet, count] { return LastMembers(fleet.vm(0)).starts_with(count); };
+  };
+  ASSERT_TRUE(fleet.RunUntil(lists("5 VMs"), Millis(5000)));
+  other.leaving = true;
+  fleet.table.Put("members", "gone", EncodeJson(other));
+  ASSERT_TRUE(fleet.RunUntil(lists("4 VMs"), Millis(5000)));
+  fleet.table.Restore(copy);
+  EXPECT_FALSE(fleet.RunUntil(lists("5 VMs"), Millis(6000)));
+}
+
 EndpointEntry ReportOf(const char* id, std::int64_t sequence, bool leaving) {
   EndpointEntry entry;
   entry.id = EndpointId(id);
