The first claim in an era waits for tokens of the era before

Operators would see: a commit lost after a restore in the middle of a takeover, when proxies reach different servers.

A holder of the earlier era that had not stopped a server yet shows no trace; it may stop, find no successor and resume the servers that the first holder of the new era has just compared.

Change: DecideFirstFenceClaim. A group without a row in this era is claimed or reserved only after the era was observed for the hold-off before an order, 1.2 s, which outlasts a token's validity of 1 s.

--- a/src/directory/table_follower.cc
+++ b/src/directory/table_follower.cc
@@ -121,6 +121,7 @@
   }
   if (!m_loaded || order == StoreOrder::kRestored) {
     m_history_from = snapshot.position.version;
+    m_era_observed_at = Clock::now();
   }
   std::map<std::string, TableRow> rows;
   for (auto& row : snapshot.rows) {
--- a/src/directory/table_follower.h
+++ b/src/directory/table_follower.h
@@ -59,6 +59,9 @@
     return m_restored_at && row.version <= *m_restored_at;
   }
 
+  // When the table was first read in the era of position().
+  TimePoint era_observed_at() const { return m_era_observed_at; }
+
   // Returns the rows changed after position `after`, removed ones included, as soon as there are
   // any, or no rows after `wait`. Sets `history_gone` if not all of these changes are kept any
   // more. Errors: kPlatformUnavailable while this follower is not up to date or has not read the
@@ -94,6 +97,7 @@
   StorePosition m_position;
   // Version of the first complete read after the latest observed restore.
   std::optional<StoreVersion> m_restored_at;
+  TimePoint m_era_observed_at;
   bool m_loaded = false;
   bool m_adopted_last_read = false;
   bool m_up_to_date = false;
--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -103,4 +103,11 @@
   return now_ms - row.at_ms < hold_off.count() ? FenceClaim::kWait : FenceClaim::kClaim;
 }
 
+// Decides whether a proxy may make the first claim of a group in an era of the store that it has
+// observed for `era_age`. A holder of the era before may resume servers until its token expires.
+// Pure and thread safe.
+inline FenceClaim DecideFirstFenceClaim(Duration era_age) {
+  return era_age < kHoldOffBeforeOrder ? FenceClaim::kWait : FenceClaim::kClaim;
+}
+
 }  // namespace cardamom
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -69,6 +69,12 @@
   // Era of the store in the latest list of servers.
   StoreEra store_era() const { return m_servers_follower.position().era; }
 
+  // How long ago `era` was first observed; 0 if it has not been yet.
+  Duration EraAge(StoreEra era) const {
+    return era == store_era() ? Clock::now() - m_servers_follower.era_observed_at()
+                              : Duration::zero();
+  }
+
   // Whether a configuration and a list of servers have been loaded.
   bool IsLoaded() const { return m_configuration.has_value() && m_has_servers; }
   // Waits for IsLoaded(). Returns false if it does not hold at `deadline`.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,6 +67,7 @@
           std::move(ports.order),
           [this] { return m_directory.RefreshServers(); },
           [this] { return m_directory.WasStoreUnavailableWithin(kOutageLookback); },
+          [this](StoreEra era) { return m_directory.EraAge(era); },
           [this] { m_directory.RecordStoreFailure(); },
           m_outage_takeover),
       m_coordinator(m_context, m_directory, m_takeover, m_outage_takeover) {}
@@ -83,6 +84,7 @@
   };
   hooks.store_unavailable_since = [this] { return m_directory.StoreUnavailableSince(); };
   hooks.store_era = [this] { return m_directory.store_era(); };
+  hooks.era_age = [this](StoreEra era) { return m_directory.EraAge(era); };
   hooks.ask_other_homes = [this](GroupId group) -> asio::awaitable<std::vector<StoreReport>> {
     return AskAboutStore(m_context, m_homes, m_fleet.HomesOf(group, MaxConnections(group)),
                          m_fleet.self().id);
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -109,6 +109,8 @@
   }
   if (!loaded->IsHistoryLost()) {
     asked = {primary};
+  } else if (DecideFirstFenceClaim(m_hooks.era_age(loaded->era)) == FenceClaim::kWait) {
+    co_return std::nullopt;
   }
   const ControlRequest question;
   const auto answers = co_await SendToServers(m_context, group, asked, question);
--- a/src/gateway/outage_takeover.h
+++ b/src/gateway/outage_takeover.h
@@ -22,6 +22,8 @@
   std::function<std::optional<TimePoint>()> store_unavailable_since;
   // Era of the store in its latest answer.
   std::function<StoreEra()> store_era;
+  // How long ago this proxy first observed the era of the store; 0 if it has not yet.
+  std::function<Duration(StoreEra era)> era_age;
   // Asks the other homes of the group whether the store answers them.
   std::function<asio::awaitable<std::vector<StoreReport>>(GroupId group)> ask_other_homes;
 };
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -38,6 +38,7 @@
                    PromotionOrder order,
                    RefreshServers refresh_servers,
                    StoreWasUnavailable store_was_unavailable,
+                   EraAge era_age,
                    OnStoreFailure on_store_failure,
                    OutageTakeover& outage)
     : m_context(context),
@@ -45,6 +46,7 @@
       m_order(std::move(order)),
       m_refresh_servers(std::move(refresh_servers)),
       m_store_was_unavailable(std::move(store_was_unavailable)),
+      m_era_age(std::move(era_age)),
       m_on_store_failure(std::move(on_store_failure)),
       m_outage(outage) {}
 
@@ -62,7 +64,10 @@
     co_return ClaimResult{std::nullopt, true};
   }
   const auto& self = m_context.settings.vm_id;
-  if (DecideFenceClaim(loaded->row, self, loaded->now_ms) == FenceClaim::kWait) {
+  const auto decision = loaded->IsHistoryLost()
+                            ? DecideFirstFenceClaim(m_era_age(loaded->era))
+                            : DecideFenceClaim(loaded->row, self, loaded->now_ms);
+  if (decision == FenceClaim::kWait) {
     co_return ClaimResult();
   }
   Claim claim;
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -35,6 +35,8 @@
   // Whether the store was recently unavailable, or may have been, so that a holder of a reserved
   // token may have stopped servers.
   using StoreWasUnavailable = std::function<bool()>;
+  // How long ago this proxy first observed the era of the store; 0 if it has not yet.
+  using EraAge = std::function<Duration(StoreEra era)>;
   // Records that the store did not answer.
   using OnStoreFailure = std::function<void()>;
 
@@ -43,6 +45,7 @@
            PromotionOrder order,
            RefreshServers refresh_servers,
            StoreWasUnavailable store_was_unavailable,
+           EraAge era_age,
            OnStoreFailure on_store_failure,
            OutageTakeover& outage);
 
@@ -108,6 +111,7 @@
   const PromotionOrder m_order;
   const RefreshServers m_refresh_servers;
   const StoreWasUnavailable m_store_was_unavailable;
+  const EraAge m_era_age;
   const OnStoreFailure m_on_store_failure;
   OutageTakeover& m_outage;
 };
--- a/tests/unit/store_restore_test.cc
+++ b/tests/unit/store_restore_test.cc
@@ -245,6 +245,18 @@
   EXPECT_FALSE(Row().open);
 }
 
+// Guards against a lost commit: a holder of the earlier era resumes the servers that the first
+// holder of this era has stopped.
+TEST_F(TakeoverRestoreTest, TheFirstClaimWaitsUntilTokensOfTheEarlierEraHaveExpired) {
+  m_table.Restore(m_table.TakeCopy());
+  m_era_age = Millis(0);
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kBackedOff);
+  EXPECT_TRUE(m_orders.empty());
+  m_era_age = kHoldOffBeforeOrder;
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kHasPrimary);
+}
+
 // Guards against a row of the present era that is replaced by a write that was prepared before the
 // restore, whose expected version was given out again.
 TEST_F(TakeoverRestoreTest, AWritePreparedInAnEarlierEraClaimsNothing) {
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -23,6 +23,7 @@
             MakePromotionOrder(),
             [this] { return Refresh(); },
             [this] { return m_store_was_unavailable; },
+            [this](StoreEra /*era*/) { return m_era_age; },
             [this] { ++m_store_failures; },
             m_outage) {
     m_gateway.Run([this]() -> asio::awaitable<void> {
@@ -52,6 +53,7 @@
     hooks.is_reservation_owner = [](const GroupId& /*group*/) { return true; };
     hooks.store_unavailable_since = [this] { return m_store_unavailable_since; };
     hooks.store_era = [this] { return m_table.era; };
+    hooks.era_age = [this](StoreEra /*era*/) { return m_era_age; };
     hooks.ask_other_homes = [this](GroupId /*group*/) -> asio::awaitable<std::vector<StoreReport>> {
       co_return m_other_home_reports;
     };
@@ -93,6 +95,8 @@
   std::optional<std::vector<EndpointEntry>> m_listed;
   bool m_store_was_unavailable = false;
   int m_store_failures = 0;
+  // How long the proxy has observed the era of the store.
+  Duration m_era_age = std::chrono::minutes(1);
   // When the store became unavailable; not set while it is available.
   std::optional<TimePoint> m_store_unavailable_since;
   // What the other homes report about the store.
