HTTP front: confirmed changes of records survive a restore of the table

Callers would see: a confirmed change of a record is not in force, and the next one gets a revision that was given out before and is ignored.

Cause: the revision row and the records were an older copy after a restore; proxies that held a greater revision ignored what was read, and RecordService allocated the revision from the row.

Change: the platform contract reports Store-Era, decoded once in http/store_era.h for both adapters. A relay that reads a revision below the one in force, in a later era, writes the records in force back by one transaction that expects the rows it read. RecordService waits for that. A starting proxy asks peers once. The platform stand-in learns /admin/copy and /admin/restore.

--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -8,6 +8,7 @@
 #include "cardamom/group_record.h"
 #include "core/clock.h"
 #include "core/json.h"
+#include "core/store_position.h"
 
 namespace cardamom {
 
@@ -27,8 +28,10 @@
 struct ConfigSnapshot {
   Revision revision;
   std::vector<StoredRecord> records;
+  // Era of the store that the snapshot was read in.
+  StoreEra era;
 };
-BOOST_DESCRIBE_STRUCT(ConfigSnapshot, (), (revision, records))
+BOOST_DESCRIBE_STRUCT(ConfigSnapshot, (), (revision, records, era))
 
 // Tracks the snapshot in force, and the latest revision that the proxy has observed.
 //
@@ -52,6 +55,14 @@
   // Records that `revision` exists, observed at `now`.
   void ObserveRevision(Revision revision, TimePoint now);
 
+  // Whether `read`, a snapshot read from the store, shows that the store came back from an older
+  // copy that lacks changes in force here.
+  bool HasStoreLostChanges(const ConfigSnapshot& read) const {
+    return m_adopted && read.era > m_snapshot.era && read.revision < m_snapshot.revision;
+  }
+  // Records that the store holds the snapshot in force again, in `era`.
+  void OnWrittenBack(StoreEra era) { m_snapshot.era = era; }
+
   Revision revision() const { return m_snapshot.revision; }
   // Greatest revision observed, whether in force or not.
   Revision latest_observed_revision() const { return m_latest_observed_revision; }
--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "async/spawn.h"
 
 namespace cardamom {
@@ -26,6 +28,7 @@
 
 Outcome<ConfigSnapshot> DecodeSnapshot(const TableReadAnswer& answer) {
   ConfigSnapshot snapshot;
+  snapshot.era = answer.era;
   for (const auto& row : answer.rows) {
     if (row.key == kRevisionKey) {
       if (row.version != 0) {
@@ -155,7 +158,13 @@
 }
 
 asio::awaitable<void> ConfigFollower::Run() {
+  bool peers_asked = false;
   while (!m_stopped) {
+    if (!peers_asked && m_membership.vms().size() > 1) {
+      // Peers may hold changes that a store lacks that came back from an older copy.
+      peers_asked = true;
+      co_await PollPeers();
+    }
     const auto relays = static_cast<std::size_t>(m_context.settings.relays_per_domain);
     const bool is_relay = m_membership.IsRelay(relays);
     bool answered = false;
@@ -194,6 +203,9 @@
   if (!snapshot) {
     co_return false;
   }
+  if (HasStoreLostChanges(*snapshot)) {
+    co_return co_await WriteBack();
+  }
   Confirm(snapshot->revision, request_sent_at);
   bool up_to_date = false;
   {
@@ -207,6 +219,53 @@
   co_return true;
 }
 
+bool ConfigFollower::HasStoreLostChanges(const ConfigSnapshot& read) const {
+  const std::lock_guard lock(m_mutex);
+  return m_state.HasStoreLostChanges(read);
+}
+
+asio::awaitable<bool> ConfigFollower::WriteBack() {
+  const auto request_sent_at = Clock::now();
+  const auto stored =
+      co_await m_platform.Read(MakeSnapshotRequest(), request_sent_at + kAnswerTimeout);
+  if (!stored) {
+    co_return false;
+  }
+  const auto present = DecodeSnapshot(*stored);
+  if (!present || !HasStoreLostChanges(*present)) {
+    co_return present.has_value();
+  }
+  const auto lost = snapshot();
+  RevisionRow revision{lost.revision, {}};
+  TransactRequest request;
+  for (const auto& row : stored->rows) {
+    request.expect.push_back({row.key, row.version});
+    if (row.key != kRevisionKey) {
+      request.deletes.push_back(row.key);
+    }
+  }
+  for (const auto& record : lost.records) {
+    const auto key = kRecordPrefix + record.group.value();
+    std::erase(request.deletes, key);
+    request.puts.push_back({key, EncodeJson(record)});
+    revision.recent_changes.push_back(record.change_id);
+  }
+  request.puts.push_back({kRevisionKey, EncodeJson(revision)});
+  const auto written =
+      co_await m_platform.Transact(std::move(request), Clock::now() + kAnswerTimeout);
+  if (!written || !written->applied || written->era != present->era) {
+    co_return false;
+  }
+  {
+    const std::lock_guard lock(m_mutex);
+    m_state.OnWrittenBack(present->era);
+  }
+  m_context.events.Emit(EventCode::kStoreRestored,
+                        {.detail = fmt::format("revision {} is written back over {}",
+                                               lost.revision.value(), present->revision.value())});
+  co_return true;
+}
+
 asio::awaitable<bool> ConfigFollower::FetchFromPlatform() {
   const auto request_sent_at = Clock::now();
   const auto answer =
--- a/src/proxy/config_follower.h
+++ b/src/proxy/config_follower.h
@@ -88,6 +88,10 @@
   // Each of these reads the whole configuration and applies it; returns whether it was read.
   asio::awaitable<bool> FetchFromPlatform();
   asio::awaitable<bool> FetchFromPeer(const VmEntry& peer);
+  bool HasStoreLostChanges(const ConfigSnapshot& read) const;
+  // Writes the configuration in force to a store that came back from an older copy. Returns whether
+  // the store holds it now.
+  asio::awaitable<bool> WriteBack();
   // Records that a source reported `revision` as the newest at time `at`.
   void Confirm(cardamom::Revision revision, TimePoint at);
   // Emits an event when the platform becomes reachable or unreachable.
--- a/src/proxy/record_service.cc
+++ b/src/proxy/record_service.cc
@@ -144,6 +144,15 @@
       co_return Error{current.error().code, current.error().detail,
                       may_have_run ? Ran::kUnknown : Ran::kNo};
     }
+    if (current->revision.revision < m_config.RevisionStatus().revision) {
+      // The store lacks changes in force. The relays write them back.
+      if (Clock::now() >= deadline) {
+        co_return Error{ResultCode::kPlatformUnavailable, "the store lacks confirmed changes",
+                        may_have_run ? Ran::kUnknown : Ran::kNo};
+      }
+      co_await Sleep(kRetryDelay);
+      continue;
+    }
     const auto& recent_changes = current->revision.recent_changes;
     if (std::find(recent_changes.begin(), recent_changes.end(), change.change_id) !=
         recent_changes.end()) {
--- a/src/table/platform_client.cc
+++ b/src/table/platform_client.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "http/store_era.h"
+
 namespace cardamom {
 namespace {
 
@@ -30,6 +32,21 @@
   return answer;
 }
 
+// As DecodeResponse, with the era that the response reports.
+template <typename T>
+Outcome<T> DecodeTableResponse(const Outcome<HttpResponse>& response) {
+  auto answer = DecodeResponse<T>(response);
+  if (!answer) {
+    return answer;
+  }
+  const auto era = EraOf(*response);
+  if (!era) {
+    return Error{ResultCode::kPlatformUnavailable, "Store-Era is not a number", Ran::kUnknown};
+  }
+  answer->era = *era;
+  return answer;
+}
+
 }  // namespace
 
 PlatformClient::PlatformClient(asio::io_context& context,
@@ -57,13 +74,13 @@
 asio::awaitable<Outcome<TransactAnswer>> PlatformClient::Transact(TransactRequest request,
                                                                   TimePoint deadline) {
   auto message = MakeRequest("POST", "/v1/table/transact", EncodeJson(request));
-  co_return cardamom::DecodeResponse<TransactAnswer>(co_await Send(std::move(message), deadline));
+  co_return DecodeTableResponse<TransactAnswer>(co_await Send(std::move(message), deadline));
 }
 
 asio::awaitable<Outcome<TableReadAnswer>> PlatformClient::Read(TableReadRequest request,
                                                                TimePoint deadline) {
   auto message = MakeRequest("POST", "/v1/table/read", EncodeJson(request));
-  co_return cardamom::DecodeResponse<TableReadAnswer>(co_await Send(std::move(message), deadline));
+  co_return DecodeTableResponse<TableReadAnswer>(co_await Send(std::move(message), deadline));
 }
 
 asio::awaitable<Outcome<PlatformClient::TaggedVmList>> PlatformClient::ListVms(
--- a/src/table/platform_messages.h
+++ b/src/table/platform_messages.h
@@ -7,6 +7,7 @@
 
 #include "cardamom/strong.h"
 #include "core/json.h"
+#include "core/store_position.h"
 #include "membership/vm_entry.h"
 
 namespace cardamom {
@@ -44,6 +45,9 @@
 struct TransactAnswer {
   bool applied = false;
   std::vector<PlatformRow> rows;
+  // From the header Store-Era. If it is not the era in which the expected versions were read, these
+  // were not comparable, and `applied` shows nothing.
+  StoreEra era;
 };
 BOOST_DESCRIBE_STRUCT(TransactAnswer, (), (applied, rows))
 
@@ -57,6 +61,8 @@
 
 struct TableReadAnswer {
   std::vector<PlatformRow> rows;
+  // From the header Store-Era.
+  StoreEra era;
 };
 BOOST_DESCRIBE_STRUCT(TableReadAnswer, (), (rows))
 
--- a/standin/platform_server.cc
+++ b/standin/platform_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/store_era.h"
 #include "standin/json_answers.h"
 
 namespace cardamom {
@@ -59,6 +60,7 @@
   }
   const std::lock_guard lock(m_mutex);
   auto response = Route(request);
+  response.headers.push_back({kStoreEraHeader, std::to_string(m_era)});
   if (request.target == "/v1/table/transact" && m_faults.lose_answers > 0) {
     --m_faults.lose_answers;
     response.close_without_response = true;
@@ -100,12 +102,26 @@
     m_vm_lists.push_back({Clock::now(), std::move(*list)});
     return JsonAnswer(m_vm_lists.back().list);
   }
+  if (request.target == "/admin/copy" || request.target == "/admin/restore") {
+    return HandleCopy(request);
+  }
   HttpResponse response;
   response.body = boost::json::serialize(
       boost::json::value{{"reads", m_reads}, {"writes", m_writes}, {"rows", m_rows.size()}});
   return response;
 }
 
+HttpResponse PlatformServer::HandleCopy(const HttpRequest& request) {
+  if (request.target == "/admin/copy") {
+    m_copy = {m_rows, m_last_version};
+  } else {
+    m_rows = m_copy.rows;
+    m_last_version = m_copy.last_version;
+    ++m_era;
+  }
+  return HttpResponse{};
+}
+
 HttpResponse PlatformServer::HandleTransact(const HttpRequest& request) {
   auto message = DecodeJson<TransactRequest>(request.body);
   if (!message) {
--- a/standin/platform_server.h
+++ b/standin/platform_server.h
@@ -58,6 +58,9 @@
   // Requires m_mutex.
   HttpResponse Route(const HttpRequest& request);
   HttpResponse HandleAdmin(const HttpRequest& request);
+  // POST /admin/copy keeps a copy of the table; POST /admin/restore replaces the table by it, as a
+  // store does that is restored from a backup: versions are given out again, and the era rises.
+  HttpResponse HandleCopy(const HttpRequest& request);
   // Each of these requires m_mutex.
   HttpResponse HandleTransact(const HttpRequest& request);
   HttpResponse HandleRead(const HttpRequest& request);
@@ -73,6 +76,12 @@
   // Number of the visible list, used as its ETag.
   std::uint64_t m_vm_list_version = 0;
   std::uint64_t m_last_version = 0;
+  std::uint64_t m_era = 1;
+  struct Copy {
+    std::map<std::string, PlatformRow> rows;
+    std::uint64_t last_version = 0;
+  };
+  Copy m_copy;
   std::uint64_t m_reads = 0;
   std::uint64_t m_writes = 0;
   std::unique_ptr<HttpServer> m_http;
--- a/tests/process/config_test.cc
+++ b/tests/process/config_test.cc
@@ -106,6 +106,30 @@
   }
 }
 
+// Guards against a confirmed change that is lost, and against a later one that is not in force
+// because its revision was given out before: the store comes back from an older copy.
+TEST_F(ConfigTest, ConfirmedChangesSurviveARestoreOfTheStore) {
+  const auto admin = [&](const char* path) {
+    ASSERT_EQ(SendOnce(m_cluster.platform_address(), "POST", path, "")->status, 200);
+  };
+  admin("/admin/copy");
+  ASSERT_EQ(m_cluster.SendRecordChange(MakeReplacement(1, 1500)).status, 200);
+  ASSERT_EQ(m_cluster.SendRecordChange(MakeReplacement(2, 1600)).status, 200);
+  ASSERT_TRUE(WaitForRevisionEverywhere(3, kPropagationTarget));
+  admin("/admin/restore");
+  m_cluster.AddProxy("late");
+  m_cluster.PublishVms();
+  const auto next = m_cluster.SendRecordChange(MakeReplacement(3, 1700), 1);
+  ASSERT_EQ(next.status, 200) << next.body;
+  EXPECT_EQ(DecodeJson<RecordChangeAnswer>(next.body)->revision, Revision(4));
+  EXPECT_TRUE(WaitForRevisionEverywhere(4, kPropagationTarget));
+  TableReadRequest read;
+  read.keys = {"record/g"};
+  const auto rows = DecodeJson<TableReadAnswer>(
+      SendOnce(m_cluster.platform_address(), "POST", "/v1/table/read", EncodeJson(read))->body);
+  EXPECT_NE(rows->rows.at(0).value.find("1700"), std::string::npos);
+}
+
 TEST_F(ConfigTest, UnknownSchemaKeepsTheLastReadableRecord) {
   // A newer version of an operator's tool writes a record of an unsupported schema directly to the
   // table. The proxies must go on with the record that they have.
