HTTP front: a term is not allocated twice after a restore

Operators would see: two promoters with one term, and a voter set missing among those that a promotion has to fence.

Cause: TermStore compared versions across a restore and continued from the row of the copy.

Change: the held row is compared by era and version, and after a restore TermRow::Merge adds its terms and allocations to the row read. A write that was handled in another era than its read does not count as applied.

--- a/src/failover/term_row.cc
+++ b/src/failover/term_row.cc
@@ -51,6 +51,19 @@
   });
 }
 
+void TermRow::Merge(const TermRow& held) {
+  last = std::max(last, held.last);
+  complete = std::max(complete, held.complete);
+  for (const auto& allocation : held.allocations) {
+    if (std::find(allocations.begin(), allocations.end(), allocation) == allocations.end()) {
+      allocations.push_back(allocation);
+    }
+  }
+  std::stable_sort(allocations.begin(), allocations.end(),
+                   [](const auto& a, const auto& b) { return a.term < b.term; });
+  std::erase_if(allocations, [this](const TermAllocation& a) { return a.term < complete; });
+}
+
 void TermRow::MarkComplete(Term term) {
   if (term <= complete || Find(term) == nullptr) {
     return;
--- a/src/failover/term_row.h
+++ b/src/failover/term_row.h
@@ -55,6 +55,10 @@
   // Whether a term that may still be used has a voter that is not among `voters`.
   bool HasVoterOutside(const std::vector<EndpointId>& voters) const;
 
+  // Adds what `held` shows, which was read before the store came back from an older copy: its
+  // allocations and the greater terms.
+  void Merge(const TermRow& held);
+
   // Returns the allocation of `term`, or nullptr if there is none or it was removed; valid until
   // the row changes.
   const TermAllocation* Find(Term term) const;
--- a/src/proxy/term_store.cc
+++ b/src/proxy/term_store.cc
@@ -23,11 +23,20 @@
 
 void TermStore::UpdateCache(const VersionedRow& loaded) {
   const std::lock_guard lock(m_mutex);
-  if (loaded.version >= m_cached_row.version) {
+  if (CompareToHeld(loaded.position, m_cached_row.position) != StoreOrder::kOlder) {
     m_cached_row = loaded;
   }
 }
 
+void TermStore::MergeCached(VersionedRow& loaded) const {
+  const std::lock_guard lock(m_mutex);
+  const bool restored =
+      CompareToHeld(loaded.position, m_cached_row.position) == StoreOrder::kRestored;
+  if (restored) {
+    loaded.row.Merge(m_cached_row.row);
+  }
+}
+
 asio::awaitable<Outcome<TermStore::VersionedRow>> TermStore::Load(TimePoint deadline) {
   TableReadRequest request;
   request.keys.push_back(TermRowKey(m_group));
@@ -39,15 +48,15 @@
     co_return Error{ResultCode::kPlatformUnavailable, "the answer has no row"};
   }
   VersionedRow loaded;
-  loaded.version = answer->rows.front().version;
-  if (loaded.version != 0) {
+  loaded.position = {answer->era, StoreVersion(answer->rows.front().version)};
+  if (loaded.position.version != StoreVersion()) {
     auto row = DecodeJson<TermRow>(answer->rows.front().value);
     if (!row) {
       co_return Error{ResultCode::kPlatformUnavailable, "the term row cannot be read"};
     }
     loaded.row = std::move(*row);
   }
-  UpdateCache(loaded);
+  MergeCached(loaded);
   co_return loaded;
 }
 
@@ -56,6 +65,7 @@
   if (!loaded) {
     co_return loaded.error();
   }
+  UpdateCache(*loaded);
   co_return loaded->row;
 }
 
@@ -67,15 +77,18 @@
       co_return loaded.error();
     }
     if (!update(loaded->row)) {
+      UpdateCache(*loaded);
       co_return loaded->row;
     }
     TransactRequest request;
-    request.expect.push_back({TermRowKey(m_group), loaded->version});
+    request.expect.push_back({TermRowKey(m_group), loaded->position.version.value()});
     request.puts.push_back({TermRowKey(m_group), EncodeJson(loaded->row)});
     const auto answer = co_await m_platform.Transact(std::move(request), deadline);
-    if (answer && answer->applied) {
-      UpdateCache(
-          {loaded->row, answer->rows.empty() ? loaded->version : answer->rows.front().version});
+    if (answer && answer->applied && answer->era == loaded->position.era) {
+      if (!answer->rows.empty()) {
+        loaded->position.version = StoreVersion(answer->rows.front().version);
+      }
+      UpdateCache(*loaded);
       co_return loaded->row;
     }
     if (Clock::now() >= deadline) {
--- a/src/proxy/term_store.h
+++ b/src/proxy/term_store.h
@@ -13,8 +13,10 @@
 // Key of the term row of `group`. Thread safe.
 std::string TermRowKey(const GroupId& group);
 
-// Thread safe. The row last read or written stays available while the platform does not answer.
-// Precondition: calling coroutines run on a strand.
+// Thread safe. The row last read or written stays available while the platform does not answer. If
+// the store comes back from an older copy, the next change adds what the row held here shows, so
+// that no term is allocated twice and no voter set is lost. Precondition: calling coroutines run on
+// a strand.
 class TermStore {
  public:
   // `platform` must outlive this object.
@@ -36,10 +38,12 @@
  private:
   struct VersionedRow {
     TermRow row;
-    std::uint64_t version = 0;
+    StorePosition position;
   };
 
   asio::awaitable<Outcome<VersionedRow>> Load(TimePoint deadline);
+  // Adds what the cached row shows to a row that was read after the store was restored.
+  void MergeCached(VersionedRow& loaded) const;
   // Replaces the cached row unless `loaded` is older.
   void UpdateCache(const VersionedRow& loaded);
 
--- a/tests/unit/store_restore_test.cc
+++ b/tests/unit/store_restore_test.cc
@@ -7,6 +7,8 @@
 
 #include "directory/server_list.h"
 #include "fleet_fakes.h"
+#include "proxy/term_store.h"
+#include "standin/platform_server.h"
 #include "takeover_fixture.h"
 
 namespace cardamom::testing {
@@ -292,5 +294,42 @@
   EXPECT_EQ(EraOfToken(last_of_first), StoreEra(1));
 }
 
+// The HTTP front.
+
+// Guards against a term that is allocated twice: the row is an older copy that lacks an allocation.
+TEST(TermStoreRestoreTest, ATermIsNotAllocatedTwice) {
+  boost::asio::io_context io;
+  auto server = *PlatformServer::Create(io, *Address::Parse("127.0.0.1:0"));
+  PlatformClient platform(io, server->address(), "vm-1");
+  const auto admin = std::make_shared<ConnectionPool>(io, server->address(), 1);
+  TermStore store(platform, GroupId("g"));
+  const auto deadline = Clock::now() + Millis(3000);
+  std::vector<Term> terms;
+  const std::vector<EndpointId> voters{EndpointId("a"), EndpointId("b")};
+  const std::function<bool(TermRow&)> allocate = [&](TermRow& row) {
+    terms.push_back(row.Allocate(voters, "vm-1").term);
+    return true;
+  };
+  const auto post = [&](const char* target) -> asio::awaitable<void> {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = target;
+    co_await admin->Send(std::move(request), deadline);
+  };
+  std::size_t allocations = 0;
+  Spawn(io, [&]() -> asio::awaitable<void> {
+    co_await store.Update(allocate, deadline);
+    co_await post("/admin/copy");
+    co_await store.Update(allocate, deadline);
+    co_await post("/admin/restore");
+    const auto row = co_await store.Update(allocate, deadline);
+    allocations = row ? row->allocations.size() : 0;
+    io.stop();
+  });
+  io.run_for(Millis(5000));
+  EXPECT_EQ(terms, (std::vector<Term>{Term(1), Term(2), Term(3)}));
+  EXPECT_EQ(allocations, 3U);
+}
+
 }  // namespace
 }  // namespace cardamom::testing
