--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -129,7 +129,7 @@
   claim.row.at_ms = loaded->now_ms;
   const auto written =
       co_await m_fences.Replace(group.id(), *loaded, claim.row, Clock::now() + kStoreTimeout);
-  co_return written&&* written;
+  co_return written.has_value() && *written;
 }
 
 asio::awaitable<void> Takeover::Resume(std::shared_ptr<GroupClient> group,
