Takeover: logs and metrics that tell the hypotheses apart

Cause: the order's log line did not show what the row told, which commit was last acknowledged, how old the compared logs were, or what the new primary holds.

Change: event 301 names the row's holder, its mark and its reservation; 310 the last acknowledged position and the age of the logs; 303 the end of the new primary's log. Event 312 and cardamom_commits_missing_total report a primary whose log ends before a commit that this proxy saw acknowledged; cardamom_promotion_orders_total counts orders by outcome. No decision changes.

--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -40,6 +40,7 @@
   kReservedTermUsed = 309,
   kPromotionOrdered = 310,
   kPrimaryLostLead = 311,
+  kCommitMissing = 312,
   // 4xx: requests.
   kWriteWaited = 400,
   kOutcomeUnknown = 401,
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -64,6 +64,8 @@
                   "The platform was ordered to make a server the primary."},
     EventCodeInfo{EventCode::kPrimaryLostLead, "primary_lost_lead", "info",
                   "A server that was taken for the primary does not lead."},
+    EventCodeInfo{EventCode::kCommitMissing, "commit_missing", "warn",
+                  "The log of a new primary ends before a commit that was acknowledged."},
     EventCodeInfo{EventCode::kWriteWaited, "write_waited", "debug",
                   "A write waited for a change of primary."},
     EventCodeInfo{EventCode::kOutcomeUnknown, "outcome_unknown", "warn",
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -24,6 +24,15 @@
                        .Name("cardamom_gateway_promotions_total")
                        .Help("Changes of primary that this proxy tried, by outcome")
                        .Register(m_registry)),
+      m_orders(prometheus::BuildCounter()
+                   .Name("cardamom_promotion_orders_total")
+                   .Help("Orders to promote a server that this proxy sent, by outcome")
+                   .Register(m_registry)),
+      m_commits_missing(prometheus::BuildCounter()
+                            .Name("cardamom_commits_missing_total")
+                            .Help("Primaries whose log ended before an acknowledged commit")
+                            .Register(m_registry)
+                            .Add({})),
       m_durations(prometheus::BuildHistogram()
                       .Name("cardamom_statement_seconds")
                       .Help("Time from the arrival of a statement to its answer, by outcome")
@@ -62,6 +71,14 @@
   m_promotions.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountOrder(const char* outcome) {
+  m_orders.Add({{"outcome", outcome}}).Increment();
+}
+
+void GatewayMetrics::CountCommitMissing() {
+  m_commits_missing.Increment();
+}
+
 void GatewayMetrics::SetSessions(std::size_t count) {
   m_sessions.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -27,6 +27,10 @@
   // Counts an attempt to replace a primary that went as far as stopping the servers. `outcome` is
   // done or failed; an attempt with a reserved token is counted only if it is done.
   void CountPromotion(const char* outcome);
+  // Counts an order to promote a server. `outcome` is accepted, rejected or unanswered.
+  void CountOrder(const char* outcome);
+  // Counts a primary whose log ends before a commit that this proxy saw acknowledged.
+  void CountCommitMissing();
   // Sets the number of open sessions.
   void SetSessions(std::size_t count);
   // Sets the version of the configuration in force.
@@ -45,6 +49,8 @@
   prometheus::Family<prometheus::Counter>& m_statements;
   prometheus::Family<prometheus::Counter>& m_reads;
   prometheus::Family<prometheus::Counter>& m_promotions;
+  prometheus::Family<prometheus::Counter>& m_orders;
+  prometheus::Counter& m_commits_missing;
   prometheus::Family<prometheus::Histogram>& m_durations;
   prometheus::Gauge& m_sessions;
   prometheus::Gauge& m_configuration;
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -476,6 +476,7 @@
   }
   m_primary_asked_at = std::max(m_primary_asked_at, asked_at);
   SetPrimary(endpoint, position.term, "answer");
+  CheckForMissingCommit(*endpoint, asked_at, position);
   m_watermarks.Add(asked_at, position);
   m_last_primary_answer_at = Clock::now();
   m_lost_since.reset();
@@ -491,6 +492,33 @@
   m_changed.NotifyAll();
 }
 
+void GroupClient::OnCommitAcknowledged(Position position) {
+  if (m_acknowledged < position) {
+    m_acknowledged = position;
+    m_acknowledged_at = BootClock::now();
+  }
+}
+
+void GroupClient::CheckForMissingCommit(const Endpoint& endpoint,
+                                        BootTime asked_at,
+                                        Position position) {
+  // Numbers in a log grow over all terms.
+  const bool missing = asked_at > m_acknowledged_at && position.index < m_acknowledged.index;
+  if (!missing || m_reported_missing == m_acknowledged) {
+    return;
+  }
+  m_reported_missing = m_acknowledged;
+  m_context.metrics.CountCommitMissing();
+  m_context.events.Emit(
+      EventCode::kCommitMissing,
+      {.group = m_id,
+       .endpoint = endpoint.entry.id,
+       .term = m_term,
+       .detail = fmt::format("at {}.{}, acknowledged {}.{}", position.term.value(),
+                             position.index.value(), m_acknowledged.term.value(),
+                             m_acknowledged.index.value())});
+}
+
 void GroupClient::OnReplicaAnswer(const EndpointPtr& endpoint, Position applied) {
   const auto now = BootClock::now();
   endpoint->lag = m_watermarks.LagOf(applied, now);
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -114,6 +114,8 @@
   // Record what a server answered: `asked_at` is when the request was sent, `applied` the last
   // position that the replica had applied, `needed` a position that it lacked.
   void OnPrimaryAnswer(const EndpointPtr& endpoint, BootTime asked_at, Position position);
+  // The primary acknowledged a commit and reported `position`.
+  void OnCommitAcknowledged(Position position);
   void OnReplicaAnswer(const EndpointPtr& endpoint, Position applied);
   void OnReplicaBehind(const EndpointPtr& endpoint, Position needed);
   // `endpoint` answered that it is not the primary.
@@ -152,6 +154,9 @@
   const std::optional<EndpointId>& primary_id() const { return m_primary; }
   Term term() const { return m_term; }
   const WatermarkHistory& watermarks() const { return m_watermarks; }
+  // The greatest position reported with a commit that was acknowledged to this proxy; 0 before the
+  // first.
+  Position acknowledged() const { return m_acknowledged; }
   const GroupSettings& settings() const { return m_settings; }
 
   // Probes whether `endpoint` is the primary: opens and ends an empty transaction, which takes no
@@ -172,6 +177,9 @@
   void DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed);
   void RecordPrimaryLost();
   void SetPrimary(const EndpointPtr& endpoint, Term term, const char* source);
+  // Reports a primary whose answer to a request sent at `asked_at` shows that it lacks a commit
+  // that had been acknowledged before.
+  void CheckForMissingCommit(const Endpoint& endpoint, BootTime asked_at, Position position);
   asio::awaitable<void> Watch();
   // Probes the servers until one answers as the primary. One search runs at a time.
   asio::awaitable<void> SearchPrimary();
@@ -194,6 +202,10 @@
   std::optional<EndpointId> m_primary;
   Term m_term;
   WatermarkHistory m_watermarks;
+  Position m_acknowledged;
+  BootTime m_acknowledged_at;
+  // The position for which a missing commit was last reported.
+  Position m_reported_missing;
   PrimaryHealth m_health;
   TimePoint m_last_primary_answer_at;
   // When the latest request was sent that a server answered as the primary.
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -190,13 +190,11 @@
   const auto ordered =
       co_await m_order(group->id().value(), successor.value(), held.reservation->holder, token,
                        Clock::now() + kOrderTimeout);
-  const auto outcome = !ordered                             ? ordered.error().detail
-                       : *ordered == OrderResult::kAccepted ? std::string("accepted")
-                                                            : std::string("rejected");
+  m_context.metrics.CountOrder(NameOf(ordered));
   m_context.events.Emit(EventCode::kPromotionOrdered,
                         {.group = group->id(),
                          .detail = fmt::format("{} for failed, reserved token {}, {}",
-                                               successor.value(), token, outcome)});
+                                               successor.value(), token, DescribeOrder(ordered))});
   if (!ordered) {
     co_return TakeoverResult::kUnfinished;
   }
@@ -206,14 +204,15 @@
     held.unusable = true;
     co_return TakeoverResult::kBackedOff;
   }
-  const bool promoted = co_await WaitUntilPrimary(group, successor);
-  if (promoted) {
-    m_context.events.Emit(
-        EventCode::kPrimaryPromoted,
-        {.group = group->id(), .term = group->term(), .detail = successor.value()});
+  const auto promoted_at = co_await WaitUntilPrimary(group, successor);
+  if (promoted_at) {
+    m_context.events.Emit(EventCode::kPrimaryPromoted,
+                          {.group = group->id(),
+                           .term = group->term(),
+                           .detail = DescribePromoted(successor, *promoted_at)});
     m_context.metrics.CountPromotion("done");
   }
-  co_return promoted ? TakeoverResult::kHasPrimary : TakeoverResult::kUnfinished;
+  co_return promoted_at ? TakeoverResult::kHasPrimary : TakeoverResult::kUnfinished;
 }
 
 asio::awaitable<TakeoverResult> OutageTakeover::Run(std::shared_ptr<GroupClient> group) {
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -174,19 +174,21 @@
   return ShowNoTakeover(listed, group.primary_id(), ToSurveyedServers(statuses));
 }
 
-asio::awaitable<bool> WaitUntilPrimary(std::shared_ptr<GroupClient> group, EndpointId endpoint) {
+asio::awaitable<std::optional<Position>> WaitUntilPrimary(std::shared_ptr<GroupClient> group,
+                                                          EndpointId endpoint) {
   const auto deadline = Clock::now() + kPromotionTimeout;
   while (Clock::now() < deadline) {
     const auto server = group->Find(endpoint);
     if (!server) {
-      co_return false;
+      co_return std::nullopt;
     }
-    if (co_await group->ProbeIfPrimary(server, Clock::now() + kControlTimeout)) {
-      co_return true;
+    const auto position = co_await group->ProbeIfPrimary(server, Clock::now() + kControlTimeout);
+    if (position) {
+      co_return position;
     }
     co_await Sleep(kPromotionPollInterval);
   }
-  co_return false;
+  co_return std::nullopt;
 }
 
 std::string DescribeStopped(const std::vector<StopResult>& servers) {
@@ -202,4 +204,19 @@
   return text;
 }
 
+std::string DescribeOrder(const Outcome<OrderResult>& ordered) {
+  return ordered ? NameOf(ordered) : ordered.error().detail;
+}
+
+const char* NameOf(const Outcome<OrderResult>& ordered) {
+  if (!ordered) {
+    return "unanswered";
+  }
+  return *ordered == OrderResult::kAccepted ? "accepted" : "rejected";
+}
+
+std::string DescribePromoted(const EndpointId& primary, Position position) {
+  return fmt::format("{} at {}.{}", primary.value(), position.term.value(), position.index.value());
+}
+
 }  // namespace cardamom
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "directory/table_port.h"
 #include "failover/outage_rules.h"
 #include "failover/successor.h"
 #include "gateway/group_client.h"
@@ -49,11 +50,20 @@
 // takeover is under way. Not thread safe.
 bool ShowNoTakeover(const GroupClient& group, const ServerStatuses& statuses);
 
-// Waits until `endpoint` is the primary. Returns false if that takes longer than 3 s, the longest
-// time that a promotion takes, or if the server is no longer listed. Not thread safe.
-asio::awaitable<bool> WaitUntilPrimary(std::shared_ptr<GroupClient> group, EndpointId endpoint);
+// Waits until `endpoint` is the primary and returns the end of its log. Returns nothing if that
+// takes longer than 3 s, the longest time that a promotion takes, or if the server is no longer
+// listed. Not thread safe.
+asio::awaitable<std::optional<Position>> WaitUntilPrimary(std::shared_ptr<GroupClient> group,
+                                                          EndpointId endpoint);
 
 // How far the logs of `servers` reach, for a log line. Pure and thread safe.
 std::string DescribeStopped(const std::vector<StopResult>& servers);
 
+// The outcome of an order for a log line, and as a label of a metric. Pure and thread safe.
+std::string DescribeOrder(const Outcome<OrderResult>& ordered);
+const char* NameOf(const Outcome<OrderResult>& ordered);
+
+// The new primary and the end of its log, for a log line. Pure and thread safe.
+std::string DescribePromoted(const EndpointId& primary, Position position);
+
 }  // namespace cardamom
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -323,6 +323,7 @@
     permit->OnSuccess();
     endpoint->latency.OnResponse(now - sent_at, now);
     group.OnPrimaryAnswer(endpoint, asked_at, *reply.position);
+    group.OnCommitAcknowledged(*reply.position);
   }
   attempt.status = reply.ok() ? Attempt::Status::kAnswered : Attempt::Status::kUnknown;
   attempt.reason = reply.ok() ? "" : std::string(ToString(reply.error->code));
@@ -570,6 +571,7 @@
   if (attempt.status == Attempt::Status::kAnswered && attempt.reply.ok()) {
     if (pin.may_have_written && attempt.reply.position) {
       pin.group->OnPrimaryAnswer(endpoint, asked_at, *attempt.reply.position);
+      pin.group->OnCommitAcknowledged(*attempt.reply.position);
     }
     if (attempt.reply.state == SessionState::kIdle) {
       pin.lease.Release();
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -31,6 +31,17 @@
   return "";
 }
 
+// What the row told before a token was claimed, for a log line.
+std::string DescribeRow(const LoadedFenceRow& loaded) {
+  if (loaded.row.holder.empty()) {
+    return "no holder before";
+  }
+  return fmt::format(
+      "{} held {}, {} ms ago{}", loaded.row.holder,
+      loaded.row.open ? "an open row" : "a closed row", loaded.now_ms - loaded.row.at_ms,
+      loaded.row.reserved ? fmt::format(", reserved token {}", loaded.row.reserved->token) : "");
+}
+
 }  // namespace
 
 Takeover::Takeover(GatewayContext& context,
@@ -86,8 +97,9 @@
     co_return ClaimResult{std::nullopt, !written};
   }
   Log(EventCode::kTermAllocated, group,
-      fmt::format("token {}{}", claim.row.token,
-                  claim.history_lost ? ", the first one in this era of the store" : ""));
+      fmt::format("token {}{}; {}", claim.row.token,
+                  claim.history_lost ? ", the first one in this era of the store" : "",
+                  DescribeRow(*loaded)));
   co_return ClaimResult{claim, false};
 }
 
@@ -280,6 +292,7 @@
   const Term stop_at(term.value() + 1);
   const ControlRequest stop{.term = stop_at};
   const auto servers = co_await StopServers(m_context, group, statuses, stop);
+  const auto read_at = Clock::now();
   const auto logs = DescribeStopped(servers);
   // A working primary keeps acknowledging commits unless it obeyed the stop.
   const bool works = co_await AnyPrimaryWorks(group, servers);
@@ -299,24 +312,25 @@
   }
   const auto ordered = co_await m_order(group->id().value(), successor->value(), claim.row.holder,
                                         claim.row.token, Clock::now() + kOrderTimeout);
-  const auto outcome = !ordered                             ? ordered.error().detail
-                       : *ordered == OrderResult::kAccepted ? std::string("accepted")
-                                                            : std::string("rejected");
+  m_context.metrics.CountOrder(NameOf(ordered));
   Log(EventCode::kPromotionOrdered, *group,
-      fmt::format("{} for {}, token {}, {}; logs:{}", successor->value(), NameOf(reason),
-                  claim.row.token, outcome, logs),
+      fmt::format("{} for {}, token {}, {}; acknowledged {}.{}; {} ms after the logs:{}",
+                  successor->value(), NameOf(reason), claim.row.token, DescribeOrder(ordered),
+                  group->acknowledged().term.value(), group->acknowledged().index.value(),
+                  ToMillis(Clock::now() - read_at).count(), logs),
       stop_at);
   if (!ordered || *ordered != OrderResult::kAccepted) {
     co_return TakeoverResult::kUnfinished;
   }
   // The promotion itself resumes the other replicas.
-  const bool promoted = co_await WaitUntilPrimary(group, *successor);
-  if (promoted) {
-    Log(EventCode::kPrimaryPromoted, *group, successor->value(), group->term());
+  const auto promoted_at = co_await WaitUntilPrimary(group, *successor);
+  if (promoted_at) {
+    Log(EventCode::kPrimaryPromoted, *group, DescribePromoted(*successor, *promoted_at),
+        group->term());
     co_await SetOrderPending(*group, claim, false);
     group->ClearStallEvidence();
   }
-  co_return promoted ? TakeoverResult::kHasPrimary : TakeoverResult::kUnfinished;
+  co_return promoted_at ? TakeoverResult::kHasPrimary : TakeoverResult::kUnfinished;
 }
 
 }  // namespace cardamom
