--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -35,19 +37,39 @@
     return [this](std::string /*group*/, std::string endpoint, std::string /*holder*/,
                   std::uint64_t token,
                   TimePoint /*deadline*/) -> asio::awaitable<Outcome<OrderResult>> {
-      m_orders.emplace_back(endpoint, token);
+      const bool exists = m_fake_group.Find(endpoint) != nullptr;
+      if (exists) {
+        m_orders.emplace_back(endpoint, token);
+      }
       if (m_lose_answer) {
+        m_late_orders.emplace_back(endpoint, token);
         co_return Error{ResultCode::kPlatformUnavailable, "lost", Ran::kUnknown};
       }
-      if (token < m_greatest_token) {
-        co_return OrderResult::kRejected;
+      if (exists && m_before_order) {
+        m_before_order();
       }
-      m_greatest_token = token;
-      m_fake_group.Promote(endpoint);
-      co_return OrderResult::kAccepted;
+      co_return HandleOrder(endpoint, token);
     };
   }
 
+  // As the platform: it remembers the token of every order, also of one that it refuses.
+  OrderResult HandleOrder(const std::string& endpoint, std::uint64_t token) {
+    const bool refused = token < m_greatest_token || m_fake_group.Find(endpoint) == nullptr;
+    m_greatest_token = std::max(m_greatest_token, token);
+    if (refused) {
+      return OrderResult::kRejected;
+    }
+    m_fake_group.Promote(endpoint);
+    return OrderResult::kAccepted;
+  }
+
+  // The platform handles the orders that it left unanswered.
+  void HandleLateOrders() {
+    for (const auto& [endpoint, token] : std::exchange(m_late_orders, {})) {
+      HandleOrder(endpoint, token);
+    }
+  }
+
   OutageHooks Hooks() {
     OutageHooks hooks;
     hooks.is_reservation_owner = [](const GroupId& /*group*/) { return true; };
@@ -88,7 +110,11 @@
   FakeGroup m_fake_group{3};
   FakeGateway m_gateway{m_fake_group};
   FakeTable m_table;
+  // Orders for servers that exist.
   std::vector<std::pair<std::string, std::uint64_t>> m_orders;
+  std::vector<std::pair<std::string, std::uint64_t>> m_late_orders;
+  // Called before the platform handles an order that it answers.
+  std::function<void()> m_before_order;
   std::uint64_t m_greatest_token = 0;
   bool m_lose_answer = false;
   // The server list in the store, if it lacks some servers.
