--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -41,6 +41,7 @@
   kPromotionOrdered = 310,
   kPrimaryLostLead = 311,
   kCommitMissing = 312,
+  kTokenAnnounced = 313,
   // 4xx: requests.
   kWriteWaited = 400,
   kOutcomeUnknown = 401,
--- a/src/directory/table_follower.cc
+++ b/src/directory/table_follower.cc
@@ -40,7 +40,9 @@
 void TableFollower::SetUpToDate(bool up_to_date, const std::string& detail) {
   m_failures = up_to_date ? 0 : m_failures + 1;
   const bool lost = m_up_to_date && !up_to_date;
-  (up_to_date ? m_last_response_at : m_last_failure_at) = Clock::now();
+  if (up_to_date) {
+    m_last_response_at = Clock::now();
+  }
   m_up_to_date = up_to_date;
   m_context.metrics.CountStoreCall(up_to_date ? "answered" : "failed");
   if (m_on_store_call) {
--- a/src/directory/table_follower.h
+++ b/src/directory/table_follower.h
@@ -45,9 +45,8 @@
   bool IsLoaded() const { return m_loaded; }
   // Whether the last call to the store was answered.
   bool IsUpToDate() const { return m_up_to_date; }
-  // When a call to the store was last answered, and when one last failed.
+  // When a call to the store was last answered.
   TimePoint last_response_at() const { return m_last_response_at; }
-  TimePoint last_failure_at() const { return m_last_failure_at; }
   // Rows that exist, by key.
   const std::map<std::string, TableRow>& rows() const { return m_rows; }
   // Position of the store that rows() reflects.
@@ -104,8 +103,6 @@
   bool m_stopped = false;
   int m_failures = 0;
   TimePoint m_last_response_at;
-  // Starts as failed: before the first answer the state of the store is not known.
-  TimePoint m_last_failure_at = Clock::now();
   Notifier m_changed;
 };
 
--- a/src/directory/table_port.h
+++ b/src/directory/table_port.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -74,6 +75,9 @@
   kRejected,
 };
 
+// A name that no server has. The platform rejects an order for it, but remembers the order's token.
+inline constexpr std::string_view kNoEndpoint = "no-server";
+
 // Orders the platform to make `endpoint` the primary of `group`. Errors: kPlatformUnavailable; with
 // Ran::kUnknown the order may be carried out later.
 using PromotionOrder = std::function<asio::awaitable<Outcome<OrderResult>>(std::string group,
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -66,6 +66,8 @@
                   "A server that was taken for the primary does not lead."},
     EventCodeInfo{EventCode::kCommitMissing, "commit_missing", "warn",
                   "The log of a new primary ends before a commit that was acknowledged."},
+    EventCodeInfo{EventCode::kTokenAnnounced, "token_announced", "info",
+                  "The platform was told a fencing token, so that earlier orders are void."},
     EventCodeInfo{EventCode::kWriteWaited, "write_waited", "debug",
                   "A write waited for a change of primary."},
     EventCodeInfo{EventCode::kOutcomeUnknown, "outcome_unknown", "warn",
--- a/src/failover/outage_rules.cc
+++ b/src/failover/outage_rules.cc
@@ -11,7 +11,12 @@
          DecideFenceClaim(row, "", now_ms) == FenceClaim::kClaim;
 }
 
-FenceRow AddReservation(FenceRow row, TokenReservation reservation) {
+FenceRow AddReservation(FenceRow row,
+                        TokenReservation reservation,
+                        const std::optional<TokenReservation>& own_unused) {
+  if (row.reserved && row.reserved != own_unused) {
+    row.replaced = row.reserved->token;
+  }
   ++row.token;
   reservation.token = row.token;
   row.reserved = std::move(reservation);
@@ -62,6 +67,39 @@
   });
 }
 
+OutstandingOrder FindOutstandingOrder(const FenceRow& row,
+                                      bool history_lost,
+                                      const std::optional<TokenReservation>& own_unused) {
+  if (history_lost) {
+    return OutstandingOrder::kLostHistory;
+  }
+  if (row.open) {
+    return OutstandingOrder::kOpenRow;
+  }
+  const bool reserved =
+      row.reserved && row.reserved->token >= row.void_below && row.reserved != own_unused;
+  const bool replaced = row.replaced > 0 && row.replaced >= row.void_below;
+  return reserved || replaced ? OutstandingOrder::kReservation : OutstandingOrder::kNone;
+}
+
+bool MustWaitUntilSettled(OutstandingOrder reason,
+                          bool shows_no_takeover,
+                          const std::vector<SurveyedServer>& servers) {
+  switch (reason) {
+    case OutstandingOrder::kNone:
+      return false;
+    case OutstandingOrder::kOpenRow:
+      return true;
+    case OutstandingOrder::kLostHistory:
+      return !shows_no_takeover;
+    case OutstandingOrder::kReservation:
+      return std::none_of(servers.begin(), servers.end(), [](const SurveyedServer& server) {
+        return server.answered && !server.is_primary && server.paused_at <= server.term;
+      });
+  }
+  return true;
+}
+
 bool IsStoreUnavailableForAll(const std::vector<StoreReport>& answers) {
   const auto unavailable = std::count(answers.begin(), answers.end(), StoreReport::kUnavailable);
   const bool reached =
--- a/src/failover/outage_rules.h
+++ b/src/failover/outage_rules.h
@@ -31,8 +31,12 @@
 // safe.
 bool MayReserve(const ServerListSnapshot& snapshot, const FenceRow& row, std::int64_t now_ms);
 
-// Returns `row` with `reservation` and the token allocated for it. Pure and thread safe.
-FenceRow AddReservation(FenceRow row, TokenReservation reservation);
+// Returns `row` with `reservation` and the token allocated for it. The row still shows that an
+// order with the token of the reservation that it replaces may be outstanding, unless that one is
+// `own_unused`, which the caller will not use any more. Pure and thread safe.
+FenceRow AddReservation(FenceRow row,
+                        TokenReservation reservation,
+                        const std::optional<TokenReservation>& own_unused = std::nullopt);
 
 // The state that a server of the group reported before any server was paused.
 struct SurveyedServer {
@@ -62,6 +66,31 @@
                     const std::optional<EndpointId>& lost_primary,
                     const std::vector<SurveyedServer>& servers);
 
+// Why an order with a lower token than a claimed one may be outstanding.
+enum class OutstandingOrder {
+  kNone,
+  // The row was open before the claim.
+  kOpenRow,
+  // The store was restored, and the row that would show an order may be lost.
+  kLostHistory,
+  // A reserved token may be in use.
+  kReservation,
+};
+
+// Returns the reason, given the row as it was before the claim. `own_unused`: the claimant's own
+// reservation, if it has not used it. Pure and thread safe.
+OutstandingOrder FindOutstandingOrder(const FenceRow& row,
+                                      bool history_lost,
+                                      const std::optional<TokenReservation>& own_unused);
+
+// Whether a holder whose token the platform has seen must wait until orders that were accepted
+// before are carried out. Its servers, asked since, may show that there are none: a holder stops
+// servers before it sends an order, and the holder of a reserved token stops all replicas.
+// `shows_no_takeover`: see ShowNoTakeover. Pure and thread safe.
+bool MustWaitUntilSettled(OutstandingOrder reason,
+                          bool shows_no_takeover,
+                          const std::vector<SurveyedServer>& servers);
+
 // Whether another proxy reports the store as up to date or unavailable; kNoAnswer if the proxy did
 // not answer.
 enum class StoreReport { kNoAnswer, kUnavailable, kUpToDate };
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -56,10 +56,6 @@
   return up_to_date ? std::nullopt : std::optional(up_to_date_at);
 }
 
-bool Directory::WasStoreUnavailableWithin(Millis span) const {
-  return Clock::now() - std::max(m_servers_follower.last_failure_at(), m_store_failed_at) < span;
-}
-
 asio::awaitable<bool> Directory::WaitUntilLoaded(TimePoint deadline) {
   co_return co_await m_changed.WaitUntil([this] { return IsLoaded(); }, deadline);
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -62,9 +62,6 @@
   void RecordStoreFailure() { m_store_failed_at = Clock::now(); }
   // When the list of servers was last up to date, if it is not now; nullopt if it is.
   std::optional<TimePoint> StoreUnavailableSince() const;
-  // Whether a call to the store failed within the last `span`. Also true during the first `span`
-  // after the process start, because nothing is known about the time before.
-  bool WasStoreUnavailableWithin(Millis span) const;
 
   // Era of the store in the latest list of servers.
   StoreEra store_era() const { return m_servers_follower.position().era; }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,9 +26,6 @@
 // Longest wait for server list changes in one call to the store: a leaving server is noticed well
 // before its drain time ends.
 constexpr Millis kServerListFollowWait{2500};
-// For this long after a store outage, servers may still be paused by a takeover with a reserved
-// token. Longer than any such takeover takes.
-constexpr Millis kOutageLookback{20'000};
 
 // Longest wait of one call that follows a table, by table.
 std::map<std::string, Millis> StoreFollowWaits(const DirectoryDecoders& decoders,
@@ -66,7 +63,6 @@
           ports.table,
           std::move(ports.order),
           [this] { return m_directory.RefreshServers(); },
-          [this] { return m_directory.WasStoreUnavailableWithin(kOutageLookback); },
           [this](StoreEra era) { return m_directory.EraAge(era); },
           [this] { m_directory.RecordStoreFailure(); },
           m_outage_takeover),
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -129,7 +129,9 @@
   wanted.holder = m_context.settings.vm_id;
   wanted.term = status->second.term;
   wanted.servers = snapshot.servers;
-  row = AddReservation(std::move(row), std::move(wanted));
+  const bool own = row.reserved && HoldsUnusedReservation(group->id(), *row.reserved);
+  const auto own_unused = own ? row.reserved : std::nullopt;
+  row = AddReservation(std::move(row), std::move(wanted), own_unused);
   const auto written =
       co_await m_fences.Replace(group->id(), *loaded, row, Clock::now() + kStoreTimeout);
   if (!written || !*written) {
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -16,6 +16,7 @@
 // Last probe of a primary that seems to have failed.
 constexpr Millis kLastProbeTimeout{120};
 constexpr Millis kOrderTimeout{300};
+constexpr Millis kAnnouncementPause{50};
 // A replica that still lacks an earlier position of the primary after this time is cut off from it.
 constexpr Millis kStallCheck{300};
 
@@ -42,13 +43,32 @@
       loaded.row.reserved ? fmt::format(", reserved token {}", loaded.row.reserved->token) : "");
 }
 
+bool IsAnyPaused(const ServerStatuses& statuses) {
+  return std::any_of(statuses.begin(), statuses.end(),
+                     [](const auto& entry) { return entry.second.paused_at > entry.second.term; });
+}
+
+std::vector<EndpointId> PrimariesIn(const ServerStatuses& statuses) {
+  std::vector<EndpointId> primaries;
+  for (const auto& [id, status] : statuses) {
+    if (status.is_primary) {
+      primaries.push_back(id);
+    }
+  }
+  return primaries;
+}
+
+// Whether the order will certainly not be carried out.
+bool IsRefused(const Outcome<OrderResult>& ordered) {
+  return ordered ? *ordered == OrderResult::kRejected : ordered.error().ran == Ran::kNo;
+}
+
 }  // namespace
 
 Takeover::Takeover(GatewayContext& context,
                    TablePort table,
                    PromotionOrder order,
                    RefreshServers refresh_servers,
-                   StoreWasUnavailable store_was_unavailable,
                    EraAge era_age,
                    OnStoreFailure on_store_failure,
                    OutageTakeover& outage)
@@ -56,7 +76,6 @@
       m_fences(std::move(table)),
       m_order(std::move(order)),
       m_refresh_servers(std::move(refresh_servers)),
-      m_store_was_unavailable(std::move(store_was_unavailable)),
       m_era_age(std::move(era_age)),
       m_on_store_failure(std::move(on_store_failure)),
       m_outage(outage) {}
@@ -68,6 +87,7 @@
 asio::awaitable<Takeover::ClaimResult> Takeover::ClaimToken(const GroupClient& group) {
   // A proxy that may proceed without the store does not wait long for it again.
   const auto timeout = m_outage.MayRun(group.id()) ? kStoreTimeoutInOutage : kStoreTimeout;
+  const auto valid_until = BootClock::now() + kTokenValidity;
   const auto loaded = co_await m_fences.Load(group.id(), Clock::now() + timeout);
   if (!loaded) {
     m_on_store_failure();
@@ -83,12 +103,12 @@
   }
   Claim claim;
   claim.row = loaded->row;
-  claim.order_may_be_pending = claim.row.open;
-  claim.history_lost = loaded->IsHistoryLost();
+  claim.outstanding = FindOutstandingOrder(claim.row, loaded->IsHistoryLost(),
+                                           OwnUnusedReservation(group, claim.row));
   ++claim.row.token;
   claim.row.holder = self;
   claim.row.at_ms = loaded->now_ms;
-  claim.valid_until = BootClock::now() + kTokenValidity;
+  claim.valid_until = valid_until;
   const auto written =
       co_await m_fences.Replace(group.id(), *loaded, claim.row, Clock::now() + kStoreTimeout);
   if (!written || !*written) {
@@ -98,60 +118,84 @@
   }
   Log(EventCode::kTermAllocated, group,
       fmt::format("token {}{}; {}", claim.row.token,
-                  claim.history_lost ? ", the first one in this era of the store" : "",
+                  loaded->IsHistoryLost() ? ", the first one in this era of the store" : "",
                   DescribeRow(*loaded)));
   co_return ClaimResult{claim, false};
 }
 
-asio::awaitable<bool> Takeover::HoldOffForEarlierEra(std::shared_ptr<GroupClient> group,
-                                                     Claim& claim,
-                                                     const ServerStatuses& statuses) {
-  if (!claim.history_lost) {
-    co_return false;
-  }
-  if (ShowNoTakeover(*group, statuses)) {
-    claim.order_may_be_pending = false;
-    const bool marked = co_await SetOrderPending(*group, claim, false);
-    co_return !marked;
+std::optional<TokenReservation> Takeover::OwnUnusedReservation(const GroupClient& group,
+                                                               const FenceRow& row) const {
+  const bool own = row.reserved && m_outage.HoldsUnusedReservation(group.id(), *row.reserved);
+  return own ? row.reserved : std::nullopt;
+}
+
+asio::awaitable<bool> Takeover::AnnounceToken(const GroupClient& group, Claim& claim) {
+  while (!claim.announced && BootClock::now() < claim.valid_until) {
+    const auto answer =
+        co_await m_order(group.id().value(), std::string(kNoEndpoint), claim.row.holder,
+                         claim.row.token, Clock::now() + kOrderTimeout);
+    claim.announced = answer.has_value();
+    Log(EventCode::kTokenAnnounced, group,
+        fmt::format("token {}, {}", claim.row.token,
+                    claim.announced ? "earlier orders are void" : answer.error().detail));
+    if (!claim.announced) {
+      co_await Sleep(kAnnouncementPause);
+    }
   }
-  Log(EventCode::kPromotionFailed, *group,
-      "waits for what was ordered in an earlier era of the store");
-  co_await Sleep(kHoldOffAfterOrder);
-  co_return true;
+  co_return claim.announced;
 }
 
-bool Takeover::MayBeStoppedByReservation(const GroupClient& group,
-                                         const Claim& claim,
-                                         const ServerStatuses& statuses) const {
-  const bool stopped = std::any_of(statuses.begin(), statuses.end(), [](const auto& entry) {
-    return entry.second.paused_at > entry.second.term;
-  });
-  return stopped && claim.row.reserved && m_store_was_unavailable() &&
-         !m_outage.HoldsUnusedReservation(group.id(), *claim.row.reserved);
+asio::awaitable<ServerStatuses> Takeover::Survey(std::shared_ptr<GroupClient> group) {
+  std::vector<GroupClient::EndpointPtr> all;
+  for (const auto& [id, endpoint] : group->endpoints()) {
+    all.push_back(endpoint);
+  }
+  const ControlRequest question;
+  auto answers = co_await SendToServers(m_context, group, all, question);
+  co_return std::move(answers.statuses);
 }
 
-asio::awaitable<bool> Takeover::SetOrderPending(const GroupClient& group,
-                                                Claim& claim,
-                                                bool pending) {
+asio::awaitable<bool> Takeover::UpdateRow(const GroupClient& group,
+                                          Claim& claim,
+                                          std::function<FenceRow(FenceRow, std::int64_t)> change) {
   const auto loaded = co_await m_fences.Load(group.id(), Clock::now() + kStoreTimeout);
   if (!loaded || loaded->row.token != claim.row.token) {
     co_return false;
   }
-  claim.row.open = pending;
+  claim.row = change(claim.row, loaded->now_ms);
   claim.row.at_ms = loaded->now_ms;
   const auto written =
       co_await m_fences.Replace(group.id(), *loaded, claim.row, Clock::now() + kStoreTimeout);
   co_return written.has_value() && *written;
 }
 
+asio::awaitable<bool> Takeover::SetOrderOutstanding(const GroupClient& group,
+                                                    Claim& claim,
+                                                    bool outstanding) {
+  const bool announced = claim.announced;
+  const auto change = [outstanding, announced](FenceRow row, std::int64_t /*now_ms*/) {
+    row.open = outstanding;
+    row.void_below = announced ? row.token : row.void_below;
+    return row;
+  };
+  co_return co_await UpdateRow(group, claim, change);
+}
+
+asio::awaitable<TakeoverResult> Takeover::WaitUntilSettled(std::shared_ptr<GroupClient> group,
+                                                           Claim claim) {
+  const bool written = co_await UpdateRow(*group, claim, MarkEarlierOrdersVoid);
+  Log(EventCode::kPromotionFailed, *group,
+      fmt::format("waits for orders accepted before token {}{}", claim.row.token,
+                  written ? "" : "; the row was not written"));
+  if (written) {
+    co_await Sleep(kPromotionTime);
+  }
+  co_return TakeoverResult::kUnfinished;
+}
+
 asio::awaitable<void> Takeover::Resume(std::shared_ptr<GroupClient> group,
                                        Claim claim,
                                        std::optional<EndpointId> primary) {
-  if (claim.order_may_be_pending) {
-    // An order of an earlier holder may be pending. The logs that the holder compared must not
-    // change before the order is carried out.
-    co_return;
-  }
   std::vector<GroupClient::EndpointPtr> replicas;
   for (const auto& [id, endpoint] : group->endpoints()) {
     if (primary != id) {
@@ -240,47 +284,74 @@
   if (!refreshed) {
     co_return TakeoverResult::kBackedOff;
   }
-  std::vector<GroupClient::EndpointPtr> all;
-  for (const auto& [id, endpoint] : group->endpoints()) {
-    all.push_back(endpoint);
-  }
-  const ControlRequest question;
-  const auto answers = co_await SendToServers(m_context, group, all, question);
-  const auto& statuses = answers.statuses;
-  if (co_await HoldOffForEarlierEra(group, *claim, statuses)) {
-    co_return TakeoverResult::kUnfinished;
-  }
-  if (!claim->order_may_be_pending && MayBeStoppedByReservation(*group, *claim, statuses)) {
-    Log(EventCode::kPromotionFailed, *group,
-        fmt::format("waits for what was ordered with the reserved token {}",
-                    claim->row.reserved->token));
-    // The next holder sees in the row that an order may be pending, and finishes it.
-    co_await SetOrderPending(*group, *claim, true);
-    co_await Sleep(kHoldOffAfterOrder);
-    co_return TakeoverResult::kUnfinished;
+  const auto result = co_await Replace(group, reason, *claim);
+  co_return result;
+}
+
+asio::awaitable<TakeoverResult> Takeover::Replace(std::shared_ptr<GroupClient> group,
+                                                  TakeoverReason reason,
+                                                  Claim claim) {
+  auto statuses = co_await Survey(group);
+  const bool row_was_closed = claim.outstanding == OutstandingOrder::kNone ||
+                              claim.outstanding == OutstandingOrder::kReservation;
+  std::optional<EndpointId> healthy;
+  if (row_was_closed) {
+    healthy = co_await FindHealthyPrimary(group, reason, statuses);
+    if (healthy && (claim.outstanding == OutstandingOrder::kNone || !IsAnyPaused(statuses))) {
+      co_return co_await KeepPrimary(group, claim, *healthy, statuses);
+    }
   }
-  // A takeover that another holder has begun is finished, whatever the primary answers now: the
-  // pending order may be carried out at any moment, and a primary that kept working would
-  // acknowledge commits that the next one lacks.
-  if (!claim->order_may_be_pending) {
-    const auto healthy_primary = co_await FindHealthyPrimary(group, reason, statuses);
-    if (healthy_primary) {
-      Log(EventCode::kPromotionFailed, *group, healthy_primary->value() + " is the primary");
-      const bool paused = std::any_of(statuses.begin(), statuses.end(), [](const auto& entry) {
-        return entry.second.paused_at > entry.second.term;
-      });
-      if (paused) {
-        co_await Resume(group, *claim, healthy_primary);
-      }
-      group->ClearStallEvidence();
-      co_return TakeoverResult::kHasPrimary;
+  if (claim.outstanding != OutstandingOrder::kNone) {
+    const bool announced = co_await AnnounceToken(*group, claim);
+    if (!announced) {
+      co_return TakeoverResult::kUnfinished;
+    }
+    // The logs that are compared must be read after the last moment at which an earlier order could
+    // be accepted, and after those accepted until then were carried out.
+    const auto before = std::exchange(statuses, co_await Survey(group));
+    if (MustWaitUntilSettled(claim.outstanding, ShowNoTakeover(*group, statuses),
+                             ToSurveyedServers(statuses))) {
+      co_return co_await WaitUntilSettled(group, claim);
+    }
+    if (!row_was_closed || PrimariesIn(before) != PrimariesIn(statuses)) {
+      healthy = co_await FindHealthyPrimary(group, reason, statuses);
+    }
+    if (healthy) {
+      co_return co_await KeepPrimary(group, claim, *healthy, statuses);
     }
   }
-  const auto result = co_await Promote(group, reason, statuses, *claim);
+  const auto result = co_await Promote(group, reason, statuses, claim);
   m_context.metrics.CountPromotion(result == TakeoverResult::kHasPrimary ? "done" : "failed");
   co_return result;
 }
 
+asio::awaitable<TakeoverResult> Takeover::KeepPrimary(std::shared_ptr<GroupClient> group,
+                                                      Claim claim,
+                                                      EndpointId primary,
+                                                      ServerStatuses statuses) {
+  Log(EventCode::kPromotionFailed, *group, primary.value() + " is the primary");
+  if (claim.row.open) {
+    co_await SetOrderOutstanding(*group, claim, false);
+  }
+  if (IsAnyPaused(statuses)) {
+    co_await Resume(group, claim, primary);
+  }
+  group->ClearStallEvidence();
+  co_return TakeoverResult::kHasPrimary;
+}
+
+asio::awaitable<TakeoverResult> Takeover::GiveUp(std::shared_ptr<GroupClient> group,
+                                                 Claim claim,
+                                                 std::string reason) {
+  Log(EventCode::kPromotionFailed, *group, reason);
+  const bool closed = co_await SetOrderOutstanding(*group, claim, false);
+  if (!closed) {
+    co_return TakeoverResult::kUnfinished;
+  }
+  co_await Resume(group, claim, std::nullopt);
+  co_return TakeoverResult::kBackedOff;
+}
+
 asio::awaitable<TakeoverResult> Takeover::Promote(std::shared_ptr<GroupClient> group,
                                                   TakeoverReason reason,
                                                   ServerStatuses statuses,
@@ -290,6 +361,12 @@
     term = std::max({term, status.term, status.paused_at});
   }
   const Term stop_at(term.value() + 1);
+  // The row is marked before the logs are read, so that the order follows them at once.
+  const bool marked = co_await SetOrderOutstanding(*group, claim, true);
+  if (!marked) {
+    Log(EventCode::kPromotionFailed, *group, "the row was not marked", stop_at);
+    co_return TakeoverResult::kBackedOff;
+  }
   const ControlRequest stop{.term = stop_at};
   const auto servers = co_await StopServers(m_context, group, statuses, stop);
   const auto read_at = Clock::now();
@@ -298,27 +375,27 @@
   const bool works = co_await AnyPrimaryWorks(group, servers);
   const auto successor = works ? std::nullopt : ChooseSuccessor(servers);
   if (!successor) {
-    Log(EventCode::kPromotionFailed, *group,
-        (works ? "the primary works:" : "no safe successor:") + logs, stop_at);
-    co_await Resume(group, claim, std::nullopt);
-    co_return claim.order_may_be_pending ? TakeoverResult::kUnfinished : TakeoverResult::kBackedOff;
+    co_return co_await GiveUp(group, claim,
+                              (works ? "the primary works:" : "no safe successor:") + logs);
   }
-  // From here on other proxies hold off for as long as the order may take.
-  const bool marked = co_await SetOrderPending(*group, claim, true);
-  if (!marked || BootClock::now() > claim.valid_until) {
-    Log(EventCode::kPromotionFailed, *group,
-        "the pending mark was not confirmed while the token was valid:" + logs, stop_at);
+  if (BootClock::now() > claim.valid_until) {
+    Log(EventCode::kPromotionFailed, *group, "the token's validity has ended:" + logs, stop_at);
+    co_await SetOrderOutstanding(*group, claim, false);
     co_return TakeoverResult::kUnfinished;
   }
   const auto ordered = co_await m_order(group->id().value(), successor->value(), claim.row.holder,
                                         claim.row.token, Clock::now() + kOrderTimeout);
   m_context.metrics.CountOrder(NameOf(ordered));
+  claim.announced = claim.announced || ordered.has_value();
   Log(EventCode::kPromotionOrdered, *group,
       fmt::format("{} for {}, token {}, {}; acknowledged {}.{}; {} ms after the logs:{}",
                   successor->value(), NameOf(reason), claim.row.token, DescribeOrder(ordered),
                   group->acknowledged().term.value(), group->acknowledged().index.value(),
                   ToMillis(Clock::now() - read_at).count(), logs),
       stop_at);
+  if (IsRefused(ordered)) {
+    co_await SetOrderOutstanding(*group, claim, false);
+  }
   if (!ordered || *ordered != OrderResult::kAccepted) {
     co_return TakeoverResult::kUnfinished;
   }
@@ -327,7 +404,7 @@
   if (promoted_at) {
     Log(EventCode::kPrimaryPromoted, *group, DescribePromoted(*successor, *promoted_at),
         group->term());
-    co_await SetOrderPending(*group, claim, false);
+    co_await SetOrderOutstanding(*group, claim, false);
     group->ClearStallEvidence();
   }
   co_return promoted_at ? TakeoverResult::kHasPrimary : TakeoverResult::kUnfinished;
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -32,9 +32,6 @@
  public:
   // Reads the server list again. Returns false if the store does not answer.
   using RefreshServers = std::function<asio::awaitable<bool>()>;
-  // Whether the store was recently unavailable, or may have been, so that a holder of a reserved
-  // token may have stopped servers.
-  using StoreWasUnavailable = std::function<bool()>;
   // How long ago this proxy first observed the era of the store; 0 if it has not yet.
   using EraAge = std::function<Duration(StoreEra era)>;
   // Records that the store did not answer.
@@ -44,7 +41,6 @@
            TablePort table,
            PromotionOrder order,
            RefreshServers refresh_servers,
-           StoreWasUnavailable store_was_unavailable,
            EraAge era_age,
            OnStoreFailure on_store_failure,
            OutageTakeover& outage);
@@ -57,11 +53,9 @@
  private:
   struct Claim {
     FenceRow row;
-    // An order of an earlier holder may still be pending.
-    bool order_may_be_pending = false;
-    // The store holds no earlier row of the group in its era, so the row does not show what was
-    // ordered before the store was restored.
-    bool history_lost = false;
+    OutstandingOrder outstanding = OutstandingOrder::kNone;
+    // The platform has seen the token.
+    bool announced = false;
     // No order and no resume is sent after this time.
     BootTime valid_until;
   };
@@ -74,24 +68,44 @@
     bool store_unavailable = false;
   };
   asio::awaitable<ClaimResult> ClaimToken(const GroupClient& group);
-  // For the first claim in an era of the store: returns whether the attempt must end, after the
-  // time that an order of an earlier era may take. If the servers show that none is pending, writes
-  // so to the row.
-  asio::awaitable<bool> HoldOffForEarlierEra(std::shared_ptr<GroupClient> group,
-                                             Claim& claim,
-                                             const ServerStatuses& statuses);
-  // Whether the holder of the reserved token may have stopped servers. The group's fence row does
-  // not show whether it also sent an order.
-  bool MayBeStoppedByReservation(const GroupClient& group,
-                                 const Claim& claim,
-                                 const ServerStatuses& statuses) const;
-  // Writes to the group's fence row whether an order may be pending. Returns false if another token
-  // has been claimed or reserved since, or the store does not answer.
-  asio::awaitable<bool> SetOrderPending(const GroupClient& group, Claim& claim, bool pending);
-  // Resumes stopped replicas, unless an order of an earlier holder may be pending.
+  // The reservation in `row` if this proxy holds it and has not used it.
+  std::optional<TokenReservation> OwnUnusedReservation(const GroupClient& group,
+                                                       const FenceRow& row) const;
+  // Makes the token known to the platform by an order that cannot be carried out, so that it
+  // accepts no order with a lower token from then on. Returns false if it gives no answer while the
+  // token is valid.
+  asio::awaitable<bool> AnnounceToken(const GroupClient& group, Claim& claim);
+  // The statuses of all listed servers that answer.
+  asio::awaitable<ServerStatuses> Survey(std::shared_ptr<GroupClient> group);
+  // Replaces the group's fence row by `change(row, the store's clock)`. Returns false if another
+  // token has been claimed or reserved since, or the store does not answer.
+  asio::awaitable<bool> UpdateRow(const GroupClient& group,
+                                  Claim& claim,
+                                  std::function<FenceRow(FenceRow, std::int64_t)> change);
+  // Writes to the group's fence row whether an order may be outstanding; errors as UpdateRow.
+  asio::awaitable<bool> SetOrderOutstanding(const GroupClient& group,
+                                            Claim& claim,
+                                            bool outstanding);
+  // Ends an attempt whose token was announced, once all orders that were accepted before have been
+  // carried out.
+  asio::awaitable<TakeoverResult> WaitUntilSettled(std::shared_ptr<GroupClient> group, Claim claim);
+  // Resumes stopped replicas. Precondition: no order is outstanding.
   asio::awaitable<void> Resume(std::shared_ptr<GroupClient> group,
                                Claim claim,
                                std::optional<EndpointId> primary);
+  // Replaces the primary with the claimed token, unless a primary turns out to be healthy.
+  asio::awaitable<TakeoverResult> Replace(std::shared_ptr<GroupClient> group,
+                                          TakeoverReason reason,
+                                          Claim claim);
+  // Ends an attempt that found a healthy primary.
+  asio::awaitable<TakeoverResult> KeepPrimary(std::shared_ptr<GroupClient> group,
+                                              Claim claim,
+                                              EndpointId primary,
+                                              ServerStatuses statuses);
+  // Ends an attempt that stopped the servers and sent no order.
+  asio::awaitable<TakeoverResult> GiveUp(std::shared_ptr<GroupClient> group,
+                                         Claim claim,
+                                         std::string reason);
   // A primary that works and need not be replaced, such as one that only this proxy had lost
   // contact with.
   asio::awaitable<std::optional<EndpointId>> FindHealthyPrimary(std::shared_ptr<GroupClient> group,
@@ -110,7 +124,6 @@
   const FenceStore m_fences;
   const PromotionOrder m_order;
   const RefreshServers m_refresh_servers;
-  const StoreWasUnavailable m_store_was_unavailable;
   const EraAge m_era_age;
   const OnStoreFailure m_on_store_failure;
   OutageTakeover& m_outage;
--- a/tests/unit/outage_takeover_test.cc
+++ b/tests/unit/outage_takeover_test.cc
@@ -37,7 +37,6 @@
   // store are trusted, so the loss is dated 5 s ahead to have those opened so far trusted.
   void MakeStoreUnavailable() {
     m_table.unavailable = true;
-    m_store_was_unavailable = true;
     m_store_unavailable_since = Clock::now() + Millis(5001);
     m_other_home_reports = {StoreReport::kUnavailable, StoreReport::kUnavailable,
                             StoreReport::kNoAnswer};
@@ -141,24 +140,52 @@
 }
 
 // The holder of the reserved token has stopped the replicas and its order is pending when the store
-// returns. Another proxy finds the old primary healthy. It must not resume the replicas, since
-// commits acknowledged then are lost when the order is carried out.
-TEST_F(OutageTakeoverTest, AfterTheOutageStoppedReplicasArePromotedNotResumed) {
+// returns. Another proxy finds the old primary healthy. It must not resume the replicas while the
+// order may be carried out, since commits acknowledged then are lost.
+TEST_F(OutageTakeoverTest, AfterTheOutageReplicasAreResumedOnlyOnceTheReservedOrderIsVoid) {
   FenceRow row;
   row.token = 8;
   row.reserved = TokenReservation{8, "vm-2", Term(1), {}};
   m_table.Put("fences", "orders", EncodeJson(row));
-  m_store_was_unavailable = true;
   m_fake_group.server(1).paused_at = m_fake_group.server(2).paused_at = Term(2);
   EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kUnfinished);
   EXPECT_TRUE(m_orders.empty());
   EXPECT_EQ(m_fake_group.server(1).paused_at, Term(2));
-  // The row shows that an order may be pending, so that no other proxy waits again: in the run
+  // The row shows that the reserved order is void, so that no other proxy waits again: in the run
   // store-away-at-crash eight proxies waited one after the other, 10 s in all.
-  EXPECT_TRUE(Row().open);
+  EXPECT_GT(Row().void_below, 8U);
+  EXPECT_EQ(FindOutstandingOrder(Row(), false, std::nullopt), OutstandingOrder::kNone);
+  EXPECT_EQ(HandleOrder("e1", 8), OrderResult::kRejected);
+  PassPromotionTime();
   EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kHasPrimary);
-  ASSERT_EQ(m_orders.size(), 1U);
-  EXPECT_GT(m_orders.front().second, 8U);
+  EXPECT_TRUE(m_orders.empty());
+  EXPECT_EQ(m_fake_group.server(1).paused_at, Term());
+}
+
+// Guards against a lost commit: a proxy that reaches no server finds no successor. When it reaches
+// them again, it must not resume what the holder of a reserved token stopped meanwhile.
+TEST_F(OutageTakeoverTest, WithoutAnAnswerOfAReplicaTheReservedOrderMayHaveBeenAccepted) {
+  FenceRow row;
+  row.token = 8;
+  row.reserved = TokenReservation{8, "vm-2", Term(1), {}};
+  m_table.Put("fences", "orders", EncodeJson(row));
+  for (std::size_t i = 0; i < 3; ++i) {
+    m_fake_group.server(i).unresponsive = true;
+  }
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kUnfinished);
+  EXPECT_TRUE(m_orders.empty());
+  EXPECT_GT(Row().settled_at_ms, m_table.now_ms);
+}
+
+// A reservation that nobody has used must not delay a failover.
+TEST_F(OutageTakeoverTest, AnUnusedReservationOfAnotherProxyDelaysNoFailover) {
+  FenceRow row;
+  row.token = 8;
+  row.reserved = TokenReservation{8, "vm-2", Term(1), {}};
+  m_table.Put("fences", "orders", EncodeJson(row));
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kHasPrimary);
+  EXPECT_EQ(HandleOrder("e2", 8), OrderResult::kRejected);
 }
 
 TEST_F(OutageTakeoverTest, AReservationIsMadeOncePerTermAndServers) {
--- a/tests/unit/store_restore_test.cc
+++ b/tests/unit/store_restore_test.cc
@@ -216,9 +216,11 @@
   m_lose_answer = false;
   const auto restored_at = Clock::now();
   EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kUnfinished);
-  EXPECT_GE(Clock::now() - restored_at, kHoldOffAfterOrder);
+  EXPECT_GE(Clock::now() - restored_at, kPromotionTime);
   EXPECT_EQ(m_orders.size(), 1U);
   EXPECT_GT(m_fake_group.server(1).paused_at, m_fake_group.server(1).term);
+  EXPECT_EQ(HandleOrder("e1", token), OrderResult::kRejected);
+  PassPromotionTime();
   EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kHasPrimary);
   ASSERT_EQ(m_orders.size(), 2U);
   EXPECT_GT(LastToken(), token);
@@ -255,7 +257,7 @@
   m_fake_group.server(0).unresponsive = true;
   EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kBackedOff);
   EXPECT_TRUE(m_orders.empty());
-  m_era_age = kHoldOffBeforeOrder;
+  m_era_age = kHoldOff;
   EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kHasPrimary);
 }
 
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -24,7 +24,6 @@
             m_table.Port(),
             MakePromotionOrder(),
             [this] { return Refresh(); },
-            [this] { return m_store_was_unavailable; },
             [this](StoreEra /*era*/) { return m_era_age; },
             [this] { ++m_store_failures; },
             m_outage) {
@@ -101,6 +100,9 @@
 
   bool EndsWithPrimary(TakeoverReason reason) { return Run(reason) == TakeoverResult::kHasPrimary; }
 
+  // Lets the time pass that an attempt waits for accepted orders.
+  void PassPromotionTime() { m_table.now_ms += kPromotionTime.count(); }
+
   FenceRow Row() {
     const auto key = FenceRowKey(GroupId("orders"), m_table.era);
     const auto row = DecodeJson<FenceRow>(m_table.Get("fences", key));
@@ -119,7 +121,6 @@
   bool m_lose_answer = false;
   // The server list in the store, if it lacks some servers.
   std::optional<std::vector<EndpointEntry>> m_listed;
-  bool m_store_was_unavailable = false;
   int m_store_failures = 0;
   // How long the proxy has observed the era of the store.
   Duration m_era_age = std::chrono::minutes(1);
--- a/tests/unit/takeover_test.cc
+++ b/tests/unit/takeover_test.cc
@@ -52,14 +52,23 @@
 // Guards against a lost commit (LOST on the bench) that was acknowledged between an order and its
 // execution. The order of a first holder got no answer; the next attempt found the old primary
 // working and resumed the replicas, and then the order was carried out.
-TEST_F(TakeoverTest, PendingOrderOfAnotherHolderIsFinishedNotUndone) {
+TEST_F(TakeoverTest, ReplicasAreResumedOnlyOnceThePendingOrderOfAnotherHolderIsVoid) {
   m_fake_group.server(1).paused_at = Term(2);
   m_fake_group.server(2).paused_at = Term(2);
   m_table.Put("fences", "orders", EncodeJson(FenceRow{7, "vm-1", true, m_table.now_ms}));
+  const auto began = Clock::now();
+  EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kUnfinished);
+  EXPECT_GE(Clock::now() - began, kPromotionTime);
+  EXPECT_EQ(m_fake_group.server(1).paused_at, Term(2));
+  EXPECT_EQ(m_fake_group.server(2).paused_at, Term(2));
+  // Nobody, this proxy included, reads logs before accepted orders have been carried out.
+  EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kBackedOff);
+  EXPECT_EQ(HandleOrder("e1", 7), OrderResult::kRejected);
+  PassPromotionTime();
   EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kStalled));
-  ASSERT_EQ(m_orders.size(), 1U);
-  EXPECT_EQ(m_orders.front().second, 8U);
-  EXPECT_FALSE(m_fake_group.server(0).is_primary);
+  EXPECT_TRUE(m_orders.empty());
+  EXPECT_TRUE(m_fake_group.server(0).is_primary);
+  EXPECT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
 }
 
 // Guards against a lost commit (LOST on the bench): while the listed replicas were stopped, a
@@ -83,6 +92,8 @@
   m_fake_group.server(0).slots_exhausted = true;
   m_table.Put("fences", "orders", EncodeJson(FenceRow{7, "vm-1", true, m_table.now_ms}));
   EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kStalled));
+  PassPromotionTime();
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kStalled));
   EXPECT_TRUE(m_orders.empty());
 }
 
@@ -90,8 +101,9 @@
   m_fake_group.server(2).replication_blocked = true;
   ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
   m_fake_group.server(1).unresponsive = true;
-  m_table.Put("fences", "orders", EncodeJson(FenceRow{7, "vm-1", true, m_table.now_ms}));
   EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kStalled));
+  ASSERT_EQ(m_orders.size(), 1U);
+  EXPECT_EQ(m_orders.front().first, "e0");
   EXPECT_TRUE(m_fake_group.server(0).is_primary);
 }
 
@@ -101,6 +113,10 @@
   EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
   EXPECT_TRUE(Row().open);
   m_lose_answer = false;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_EQ(m_orders.size(), 1U);
+  EXPECT_EQ(Row().void_below, Row().token);
+  PassPromotionTime();
   EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
   ASSERT_EQ(m_orders.size(), 2U);
   EXPECT_LT(m_orders[0].second, m_orders[1].second);
@@ -111,7 +127,7 @@
   m_table.Put("fences", "orders", EncodeJson(FenceRow{7, "vm-2", false, m_table.now_ms - 100}));
   m_fake_group.server(0).unresponsive = true;
   EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
-  m_table.now_ms += kHoldOffBeforeOrder.count() + 100;
+  m_table.now_ms += kHoldOff.count() + 100;
   EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
 }
 
@@ -193,7 +209,7 @@
   }
   EXPECT_LE(tries, 11);
   // After a holder died, the next attempt follows soon after the hold-off.
-  EXPECT_LE(PauseAfter(TakeoverResult::kBackedOff, 1000), kHoldOffBeforeOrder);
+  EXPECT_LE(PauseAfter(TakeoverResult::kBackedOff, 1000), kHoldOff);
   EXPECT_EQ(PauseAfter(TakeoverResult::kUnfinished, 0), Millis(80));
 }
 
