--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -1,5 +1,6 @@
 #include "gateway/server_poll.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -171,7 +172,12 @@
   for (const auto& departed : group.Departed()) {
     listed.push_back(departed.endpoint->entry.id);
   }
-  return ShowNoTakeover(listed, group.primary_id(), ToSurveyedServers(statuses));
+  // If others answer in a newer term, the server that was the primary may be a paused replica now.
+  const bool newest = std::all_of(statuses.begin(), statuses.end(), [&group](const auto& entry) {
+    return entry.second.term <= group.term();
+  });
+  return ShowNoTakeover(listed, newest ? group.primary_id() : std::nullopt,
+                        ToSurveyedServers(statuses));
 }
 
 asio::awaitable<std::optional<Position>> WaitUntilPrimary(std::shared_ptr<GroupClient> group,
