Takeover model: earlier orders are made void before logs are compared

Cause: the walks deferred late orders while a holder compared, gave replicas the whole log at once and knew three servers that never left. Two calls of Pick in one argument list made seeds differ between compilers.

Change: the walks are split by job (group, platform, proxy, attempt, walk) and follow the new rules of the fence row: announce, wait until settled, mark, stop, compare, order. Orders and announcements take effect at any moment. New, each an option: requests and store calls that take effect late, suspended proxies, replicas that lag, receive nothing, crash or lose their logs, servers that are replaced or gone for good, old lists. A failing walk prints its last events.

Rules that the walks ask for: the row shows that a replaced reservation may have been used; the primary that a proxy saw last is not the lost one if others answer in a newer term; a departed server is ignored only if the chosen replica holds what the primary held when that server was certainly gone, and is not forgotten before; a replica whose link is younger than the list is not counted as stopped; no claim before the list has settled after an outage.

The product does not compile on this commit alone: takeover.cc uses the two hold-offs that fence_row.h no longer has.

--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -41,15 +41,23 @@
   std::uint64_t token = 0;
   // The proxy that last claimed a token; a reservation does not change it.
   std::string holder;
-  // The holder may have sent an order that was not answered or is still being carried out.
+  // An order of the holder or of an earlier one may be outstanding.
   bool open = false;
   // The store's clock when the holder last wrote the row.
   std::int64_t at_ms = 0;
   // The latest reservation; no other one is valid. It stays in the row until the next one replaces
   // it, since its holder may be using it without access to the store.
   std::optional<TokenReservation> reserved;
+  // The platform has seen this token, so it accepts no order with a lower one.
+  std::uint64_t void_below = 0;
+  // The store's clock when every order that was accepted before has been carried out.
+  std::int64_t settled_at_ms = 0;
+  // Greatest token of a reservation that was replaced although its holder may have used it.
+  std::uint64_t replaced = 0;
 };
-BOOST_DESCRIBE_STRUCT(FenceRow, (), (token, holder, open, at_ms, reserved))
+BOOST_DESCRIBE_STRUCT(FenceRow,
+                      (),
+                      (token, holder, open, at_ms, reserved, void_below, settled_at_ms, replaced))
 
 // Tokens of one era of the store: those of a later era are greater, although the rows that
 // allocated the earlier ones may be lost.
@@ -83,31 +91,41 @@
   kWait,
 };
 
-// A holder that has not sent its order within this time after it claimed the token gives up.
+// A holder that has not sent its order within this time after it began to claim the token gives up.
 constexpr Millis kTokenValidity{1000};
-// How long other proxies hold off after the holder's last write, before its order and after it. The
-// latter covers the time that the platform takes to carry out the order: the logs that a second
-// holder compares must not change during that time.
-constexpr Millis kHoldOffBeforeOrder{1200};
-constexpr Millis kHoldOffAfterOrder{2500};
+// Longest time from the acceptance of an order to the promotion.
+constexpr Millis kPromotionTime{1500};
+// How long other proxies hold off after the holder's last write: the validity of its token and the
+// time-out of a request to a server.
+constexpr Millis kHoldOff{1400};
 
 // Decides whether the proxy `self` may claim a token. `now_ms` is the store's clock. Pure and
 // thread safe.
 inline FenceClaim DecideFenceClaim(const FenceRow& row,
                                    const std::string& self,
                                    std::int64_t now_ms) {
+  if (now_ms < row.settled_at_ms) {
+    return FenceClaim::kWait;
+  }
   if (row.holder.empty() || row.holder == self) {
     return FenceClaim::kClaim;
   }
-  const auto hold_off = row.open ? kHoldOffAfterOrder : kHoldOffBeforeOrder;
-  return now_ms - row.at_ms < hold_off.count() ? FenceClaim::kWait : FenceClaim::kClaim;
+  return now_ms - row.at_ms < kHoldOff.count() ? FenceClaim::kWait : FenceClaim::kClaim;
+}
+
+// Whether the platform may still accept or carry out an order that was sent before the claim.
+// `own_unused` is the claimant's reservation that it has not used. Pure and thread safe.
+inline bool MayOrderBeOutstanding(const FenceRow& row,
+                                  const std::optional<TokenReservation>& own_unused) {
+  return row.open || (row.replaced > 0 && row.replaced >= row.void_below) ||
+         (row.reserved && row.reserved->token >= row.void_below && row.reserved != own_unused);
 }
 
 // Decides whether a proxy may make the first claim of a group in an era of the store that it has
 // observed for `era_age`. A holder of the era before may resume servers until its token expires.
 // Pure and thread safe.
 inline FenceClaim DecideFirstFenceClaim(Duration era_age) {
-  return era_age < kHoldOffBeforeOrder ? FenceClaim::kWait : FenceClaim::kClaim;
+  return era_age < kHoldOff ? FenceClaim::kWait : FenceClaim::kClaim;
 }
 
 }  // namespace cardamom
--- a/src/failover/outage_rules.cc
+++ b/src/failover/outage_rules.cc
@@ -11,7 +11,12 @@
          DecideFenceClaim(row, "", now_ms) == FenceClaim::kClaim;
 }
 
-FenceRow AddReservation(FenceRow row, TokenReservation reservation) {
+FenceRow AddReservation(FenceRow row,
+                        TokenReservation reservation,
+                        const std::optional<TokenReservation>& own_unused) {
+  if (row.reserved && row.reserved != own_unused) {
+    row.replaced = row.reserved->token;
+  }
   ++row.token;
   reservation.token = row.token;
   row.reserved = std::move(reservation);
--- a/src/failover/outage_rules.h
+++ b/src/failover/outage_rules.h
@@ -31,8 +31,12 @@
 // safe.
 bool MayReserve(const ServerListSnapshot& snapshot, const FenceRow& row, std::int64_t now_ms);
 
-// Returns `row` with `reservation` and the token allocated for it. Pure and thread safe.
-FenceRow AddReservation(FenceRow row, TokenReservation reservation);
+// Returns `row` with `reservation` and the token allocated for it. The row still shows that an
+// order with the token of the reservation that it replaces may be outstanding, unless that one is
+// `own_unused`, which the caller will not use any more. Pure and thread safe.
+FenceRow AddReservation(FenceRow row,
+                        TokenReservation reservation,
+                        const std::optional<TokenReservation>& own_unused = std::nullopt);
 
 // The state that a server of the group reported before any server was paused.
 struct SurveyedServer {
--- /dev/null
+++ b/tests/unit/takeover_attempt.cc
@@ -0,0 +1,404 @@
+// The steps of a takeover.
+#include <algorithm>
+
+#include "takeover_proxy.h"
+
+namespace cardamom::takeover_model {
+namespace {
+
+constexpr std::int64_t kOrderTimeout = 300;
+constexpr std::int64_t kPromotionTimeout = 3000;
+constexpr std::int64_t kListPropagationTime = 5000;
+// Living servers are back in the list this long after the store has returned.
+constexpr std::int64_t kListReturn = 2000;
+
+}  // namespace
+
+void Proxy::Begin() {
+  const bool failing = !m_primary || !Reaches(*m_primary) || !m_group.At(*m_primary).is_primary ||
+                       m_list[static_cast<std::size_t>(*m_primary)].leaving;
+  if (!failing && !m_world.OneIn(m_world.options().contended ? 4 : 30)) {
+    return Wait(m_world.Pick(100));
+  }
+  m_began = m_world.now();
+  m_valid_until = m_began + kTokenValidity.count();
+  Enter(Stage::kLoadRow, m_store.Latency());
+}
+
+FenceClaim Proxy::DecideClaim(const Store::Loaded& loaded, const std::string& self) const {
+  auto row = loaded.row;
+  if (m_world.IsDisabled(Rule::kWaitUntilSettled)) {
+    row.settled_at_ms = 0;
+  }
+  if (m_world.IsDisabled(Rule::kHoldOff)) {
+    row.holder = self;
+  }
+  return loaded.history_lost && !m_world.IsDisabled(Rule::kHistoryLost)
+             ? DecideFirstFenceClaim(Millis(loaded.now_ms - m_store.era_began()))
+             : DecideFenceClaim(row, self, loaded.now_ms);
+}
+
+void Proxy::LoadRow() {
+  if (!m_store.available()) {
+    return BeginReserved();
+  }
+  m_loaded = m_store.Load();
+  const bool list_settled = !m_world.options().old_lists ||
+                            m_world.now() - m_store.available_since() > kListReturn ||
+                            m_world.IsDisabled(Rule::kListSettled);
+  if (!list_settled || DecideClaim(m_loaded, Name()) == FenceClaim::kWait) {
+    m_stage = Stage::kIdle;
+    return Wait(m_world.Pick(200));
+  }
+  Enter(Stage::kClaim, m_store.Latency());
+}
+
+void Proxy::Claim() {
+  m_history_lost = m_loaded.history_lost;
+  m_row = m_loaded.row;
+  ++m_row.token;
+  m_row.holder = Name();
+  m_row.at_ms = m_loaded.now_ms;
+  if (!m_store.Replace(m_loaded, m_row)) {
+    return Finish("no claim");
+  }
+  m_world.Trace("{} claims token {}, row {}{}:{}", Name(), m_row.token,
+                m_row.open ? "open" : "closed", m_history_lost ? " (history lost)" : "",
+                m_group.Describe());
+  m_announced = false;
+  m_reserved = false;
+  if (!m_store.available()) {
+    return Finish("the list was not refreshed");
+  }
+  RefreshList();
+  Send(Operation::kStatus, ListedServers(), Term());
+  Enter(Stage::kSurvey, 0);
+}
+
+bool Proxy::MayBeOutstanding() const {
+  auto row = m_row;
+  if (m_history_lost ? m_world.IsDisabled(Rule::kHistoryLost)
+                     : m_world.IsDisabled(Rule::kOpenRow)) {
+    row.open = false;
+  }
+  if (m_world.IsDisabled(Rule::kReservationMayBeUsed)) {
+    row.reserved.reset();
+  }
+  return MayOrderBeOutstanding(row, OwnUnusedReservation());
+}
+
+void Proxy::InspectSurvey() {
+  if (!HasAllAnswers()) {
+    return;
+  }
+  m_survey = m_answers;
+  if (MayBeOutstanding()) {
+    return Announce();
+  }
+  UseSurvey();
+}
+
+void Proxy::Announce() {
+  if (m_world.IsDisabled(Rule::kAnnounceFirst)) {
+    Send(Operation::kStatus, ListedServers(), Term());
+    return Enter(Stage::kSurveyAgain, 0);
+  }
+  if (!IsValid()) {
+    return Finish("no announcement while the claim was valid");
+  }
+  m_order = m_platform.Order(std::nullopt, m_row.token);
+  m_deadline = m_world.now() + kOrderTimeout;
+  Enter(Stage::kAnnounce, 0);
+}
+
+void Proxy::InspectAnnouncement() {
+  if (m_platform.Answer(m_order)) {
+    m_announced = true;
+    Send(Operation::kStatus, ListedServers(), Term());
+    return Enter(Stage::kSurveyAgain, 0);
+  }
+  if (m_world.now() >= m_deadline) {
+    Announce();
+  }
+}
+
+void Proxy::InspectSecondSurvey() {
+  if (!HasAllAnswers()) {
+    return;
+  }
+  m_survey = m_answers;
+  const bool was_open = m_row.open && !m_history_lost;
+  if ((was_open || !ShowsNoTakeover()) && !m_world.IsDisabled(Rule::kWaitUntilSettled)) {
+    return BeginUpdate(Update::kSettle);
+  }
+  UseSurvey();
+}
+
+// No earlier order is outstanding.
+void Proxy::UseSurvey() {
+  const auto healthy = HealthyPrimary();
+  if (healthy) {
+    const bool paused = std::any_of(m_survey.begin(), m_survey.end(), [](const auto& answer) {
+      return answer.second.paused_at > answer.second.term;
+    });
+    m_primary = healthy;
+    m_term = std::max(m_term, m_group.At(*healthy).term);
+    return paused ? Resume() : Finish("healthy primary");
+  }
+  if (m_world.IsDisabled(Rule::kMarkBeforeStopping)) {
+    return Stop();
+  }
+  BeginUpdate(Update::kMark);
+}
+
+void Proxy::BeginUpdate(Update update) {
+  m_update = update;
+  Enter(Stage::kLoadRowAgain, m_store.Latency());
+}
+
+void Proxy::LoadRowAgain() {
+  if (!m_store.available()) {
+    return AfterUpdate(false);
+  }
+  m_loaded = m_store.Load();
+  if (m_loaded.row.token != m_row.token) {
+    return AfterUpdate(false);
+  }
+  Enter(Stage::kWriteRow, m_store.Latency());
+}
+
+void Proxy::WriteRow() {
+  m_row.open = m_update == Update::kMark;
+  m_row.at_ms = m_loaded.now_ms;
+  if (m_announced) {
+    m_row.void_below = m_row.token;
+  }
+  if (m_update == Update::kSettle) {
+    m_row.settled_at_ms = m_loaded.now_ms + kPromotionTime.count();
+  }
+  AfterUpdate(m_store.Replace(m_loaded, m_row));
+}
+
+void Proxy::AfterUpdate(bool written) {
+  const bool resume = m_resume_after_update;
+  m_resume_after_update = false;
+  if (m_update == Update::kMark && written) {
+    return m_world.IsDisabled(Rule::kMarkBeforeStopping) ? Order() : Stop();
+  }
+  if (resume) {
+    return Resume();
+  }
+  Finish(m_update == Update::kSettle  ? "waits until earlier orders are carried out"
+         : m_update == Update::kClose ? "closed the row"
+                                      : "the row was not marked");
+}
+
+void Proxy::Resume() {
+  if (!IsValid()) {
+    return Finish("the claim expired before the servers were resumed");
+  }
+  auto replicas = ListedServers();
+  if (m_primary) {
+    replicas.erase(*m_primary);
+  }
+  Send(Operation::kResume, replicas, Term());
+  Enter(Stage::kResume, 0);
+}
+
+void Proxy::Stop() {
+  if (!IsValid()) {
+    return Finish("the claim expired before the servers were stopped");
+  }
+  auto newest = m_term;
+  m_asked_primaries.clear();
+  for (const auto& [i, status] : m_survey) {
+    newest = std::max({newest, status.term, status.paused_at});
+    if (status.is_primary) {
+      m_asked_primaries.insert(i);
+    }
+  }
+  m_stop_at = Term(newest.value() + 1);
+  Send(Operation::kStepDown, m_asked_primaries, m_stop_at);
+  Enter(Stage::kStepDown, 0);
+}
+
+void Proxy::Pause() {
+  if (!HasAllAnswers()) {
+    return;
+  }
+  if (!IsValid()) {
+    return Finish("the claim expired before the replicas were paused");
+  }
+  m_stepped_down = m_answers;
+  const auto lost = LostPrimary(m_survey);
+  auto replicas = ListedServers();
+  for (const int i : ListedServers()) {
+    const auto status = std::find_if(m_survey.begin(), m_survey.end(),
+                                     [i](const auto& answer) { return answer.first == i; });
+    if (status != m_survey.end() ? status->second.is_primary : lost == i) {
+      m_asked_primaries.insert(i);
+      replicas.erase(i);
+    }
+  }
+  for (const auto& departed : m_departed) {
+    if (!departed.restarted) {
+      replicas.insert(departed.server);
+    }
+  }
+  Send(Operation::kPause, replicas, m_stop_at);
+  Enter(Stage::kPause, 0);
+}
+
+std::vector<StopResult> Proxy::StopResults() const {
+  std::vector<StopResult> results;
+  const auto add = [&](int i, bool was_primary, bool leaving, const auto& answers) {
+    StopResult result;
+    result.endpoint = IdOf(i);
+    result.was_primary = was_primary;
+    result.leaving = leaving;
+    for (const auto& [answered, status] : answers) {
+      const bool is_listed_incarnation = !m_world.options().checks_link_age || was_primary ||
+                                         m_group.At(i).since <= m_began - kListPropagationTime;
+      const bool stopped = was_primary ? !status.is_primary : status.paused_at >= m_stop_at;
+      if (answered == i && stopped && is_listed_incarnation) {
+        result.stopped = true;
+        result.received = status.received;
+      }
+    }
+    results.push_back(result);
+  };
+  for (const int i : ListedServers()) {
+    const bool was_primary = m_asked_primaries.contains(i);
+    add(i, was_primary, m_list[static_cast<std::size_t>(i)].leaving,
+        was_primary ? m_stepped_down : m_answers);
+  }
+  Position longest;
+  for (const auto& result : results) {
+    longest = result.stopped && !result.was_primary ? std::max(longest, result.received) : longest;
+  }
+  const std::vector<std::pair<int, ServerStatus>> none;
+  for (const auto& departed : m_departed) {
+    add(departed.server, false, true, departed.restarted ? none : m_answers);
+    results.back().safe_to_ignore = m_world.options().samples_departed
+                                        ? departed.covering && longest >= *departed.covering
+                                        : m_world.now() - departed.since > GoneAfter(departed);
+  }
+  return results;
+}
+
+void Proxy::Compare() {
+  if (!HasAllAnswers()) {
+    return;
+  }
+  auto results = StopResults();
+  bool works = false;
+  std::string logs;
+  for (const auto& result : results) {
+    const int i = ServerOf(result.endpoint);
+    works =
+        works || (result.was_primary && !result.stopped && Reaches(i) && m_group.At(i).is_primary);
+    logs += fmt::format(" s{}{}={}.{}{}", i, result.was_primary ? "*" : "",
+                        result.received.term.value(), result.received.index.value(),
+                        result.stopped          ? ""
+                        : result.safe_to_ignore ? "(departed)"
+                                                : "(not stopped)");
+  }
+  if (m_world.IsDisabled(Rule::kAllReplicasAnswered)) {
+    std::erase_if(results, [](const auto& result) { return !result.stopped; });
+  }
+  const auto successor = works ? std::nullopt : ChooseSuccessor(results);
+  m_world.Trace("{} compares{}: {}", Name(), logs, successor ? successor->value() : "none");
+  if (!successor && m_reserved) {
+    return Finish("no successor");
+  }
+  if (!successor) {
+    m_resume_after_update = true;
+    return BeginUpdate(Update::kClose);
+  }
+  m_successor = ServerOf(*successor);
+  if (m_world.IsDisabled(Rule::kMarkBeforeStopping) && !m_reserved) {
+    return BeginUpdate(Update::kMark);
+  }
+  Order();
+}
+
+void Proxy::Order() {
+  if (!IsValid()) {
+    return Finish("the claim expired before the order");
+  }
+  const auto token = m_reserved ? m_reservation->token : m_row.token;
+  m_order = m_platform.Order(m_successor, token);
+  m_world.Trace("{} orders s{} with token {}", Name(), m_successor, token);
+  m_deadline = m_world.now() + kOrderTimeout;
+  Enter(Stage::kOrder, 0);
+}
+
+void Proxy::InspectOrder() {
+  const auto answer = m_platform.Answer(m_order);
+  if (!answer && m_world.now() < m_deadline) {
+    return;
+  }
+  if (!answer) {
+    // An order with the reserved token is repeated for the same server.
+    return m_reserved && m_world.now() <= m_valid_until ? Order() : Finish("no answer");
+  }
+  if (*answer) {
+    m_deadline = m_world.now() + kPromotionTimeout;
+    return Enter(Stage::kWaitForPrimary, 0);
+  }
+  m_reserved ? Finish("rejected") : BeginUpdate(Update::kClose);
+}
+
+void Proxy::WaitForPrimary() {
+  if (Reaches(m_successor) && m_group.At(m_successor).is_primary) {
+    m_primary = m_successor;
+    m_term = std::max(m_term, m_group.At(m_successor).term);
+    return m_reserved ? Finish("promoted") : BeginUpdate(Update::kClose);
+  }
+  m_world.now() < m_deadline ? Wait(50) : Finish("not promoted in time");
+}
+
+bool Proxy::HoldsUnusedReservation() const {
+  return m_reservation && !m_reservation_used &&
+         EraOfToken(m_reservation->token) ==
+             (m_world.IsDisabled(Rule::kTokensGrowOverEras) ? StoreEra() : m_store.era());
+}
+
+void Proxy::BeginReserved() {
+  if (!HoldsUnusedReservation()) {
+    m_stage = Stage::kIdle;
+    return Wait(m_world.Pick(200));
+  }
+  auto asked = ListedServers();
+  if (m_primary) {
+    asked.erase(*m_primary);
+  }
+  Send(Operation::kStatus, asked, Term());
+  Enter(Stage::kSurveyForReservation, 0);
+}
+
+void Proxy::InspectSurveyForReservation() {
+  if (!HasAllAnswers()) {
+    return;
+  }
+  const auto opened_before = m_store.unavailable_since() - kListPropagationTime;
+  std::erase_if(m_answers,
+                [&](const auto& answer) { return m_group.At(answer.first).since > opened_before; });
+  const auto primary = LostPrimary(m_answers);
+  const auto lost = primary ? std::optional(IdOf(*primary)) : std::nullopt;
+  const auto conflict =
+      FindReservationConflict(*m_reservation, SnapshotServerList(), lost, Surveyed());
+  if (conflict && !m_world.IsDisabled(Rule::kReservationChecks)) {
+    m_stage = Stage::kIdle;
+    return Wait(m_world.Pick(200));
+  }
+  m_world.Trace("{} uses the reserved token {}:{}", Name(), m_reservation->token,
+                m_group.Describe());
+  m_survey = m_answers;
+  m_reserved = true;
+  m_reservation_used = true;
+  m_valid_until = m_world.now() + kTokenValidity.count();
+  Stop();
+}
+
+}  // namespace cardamom::takeover_model
--- /dev/null
+++ b/tests/unit/takeover_proxy.h
@@ -0,0 +1,182 @@
+// A proxy of the takeover model. It carries out the steps of src/gateway/takeover.cc and
+// src/gateway/outage_takeover.cc one at a time with the product's decision functions, so that
+// anything can happen between two of them.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "failover/fence_row.h"
+#include "failover/outage_rules.h"
+#include "failover/successor.h"
+#include "takeover_group.h"
+#include "takeover_platform.h"
+#include "takeover_world.h"
+
+namespace cardamom::takeover_model {
+
+class Proxy {
+ public:
+  // Only the proxy 0 reserves tokens.
+  Proxy(World& world, Group& group, Store& store, Platform& platform, int index);
+
+  // Takes the next step if its time has come, and delivers requests to servers.
+  void Advance();
+  // Reads the server list, or asks the primary, at times.
+  void Observe();
+  // Cuts the proxy off from a server or reconnects it.
+  void ChangeReach(int i);
+  bool is_idle() const { return m_stage == Stage::kIdle; }
+
+ private:
+  enum class Stage {
+    kIdle,
+    kLoadRow,
+    kClaim,
+    kSurvey,
+    kAnnounce,
+    kSurveyAgain,
+    kLoadRowAgain,
+    kWriteRow,
+    kStepDown,
+    kPause,
+    kOrder,
+    kWaitForPrimary,
+    kResume,
+    kSurveyForReservation,
+  };
+  enum class Update { kSettle, kMark, kClose };
+  enum class ReserveStage { kIdle, kLoaded, kAsked };
+
+  struct Request {
+    int server = 0;
+    Operation operation = Operation::kStatus;
+    Term term;
+    std::int64_t at = 0;
+    int round = 0;
+  };
+  struct Listed {
+    bool listed = false;
+    bool leaving = false;
+    std::int64_t started_ms = 0;
+  };
+  struct Departed {
+    int server = 0;
+    std::int64_t since = 0;
+    bool restarted = false;
+    bool leaving = false;
+    // Position of the primary, sampled when the server was certainly gone.
+    std::optional<Position> covering;
+  };
+
+  std::string Name() const { return "vm-" + std::to_string(m_index); }
+  bool Reaches(int i) const { return m_group.At(i).up && !m_unreachable.contains(i); }
+  bool IsValid() const;
+  void Wait(std::int64_t duration);
+  void Enter(Stage stage, std::int64_t duration);
+  void Finish(const char* reason);
+  void Step();
+
+  // Observation.
+  void RefreshList();
+  void SetDeparted(int i);
+  void ProbePrimary();
+  void SampleForDeparted(Position primary);
+  std::int64_t GoneAfter(const Departed& departed) const;
+  ServerListSnapshot SnapshotServerList() const;
+  std::vector<SurveyedServer> Surveyed() const;
+  bool ShowsNoTakeover() const;
+  std::optional<int> HealthyPrimary() const;
+  std::optional<int> LostPrimary(const std::vector<std::pair<int, ServerStatus>>& survey) const;
+
+  // Requests to servers.
+  void Send(Operation operation, const std::set<int>& servers, Term term);
+  void DeliverRequests();
+  bool HasAllAnswers() const { return m_world.now() >= m_deadline || m_answers.size() >= m_asked; }
+  std::set<int> ListedServers() const;
+
+  // A takeover with a claimed token.
+  void Begin();
+  void LoadRow();
+  FenceClaim DecideClaim(const Store::Loaded& loaded, const std::string& self) const;
+  void Claim();
+  bool MayBeOutstanding() const;
+  void InspectSurvey();
+  void Announce();
+  void InspectAnnouncement();
+  void InspectSecondSurvey();
+  void UseSurvey();
+  void BeginUpdate(Update update);
+  void LoadRowAgain();
+  void WriteRow();
+  void AfterUpdate(bool written);
+  void Resume();
+
+  // Steps of all takeovers.
+  void Stop();
+  void Pause();
+  std::vector<StopResult> StopResults() const;
+  void Compare();
+  void Order();
+  void InspectOrder();
+  void WaitForPrimary();
+
+  // A takeover with the reserved token.
+  bool HoldsUnusedReservation() const;
+  std::optional<TokenReservation> OwnUnusedReservation() const {
+    return HoldsUnusedReservation() ? m_reservation : std::nullopt;
+  }
+  void BeginReserved();
+  void InspectSurveyForReservation();
+  void Reserve();
+
+  World& m_world;
+  Group& m_group;
+  Store& m_store;
+  Platform& m_platform;
+  const int m_index;
+
+  std::set<int> m_unreachable;
+  std::array<Listed, kMaxServers> m_list;
+  std::vector<Departed> m_departed;
+  std::optional<int> m_primary;
+  Term m_term{1};
+
+  Stage m_stage = Stage::kIdle;
+  std::int64_t m_wake_at = 0;
+  std::int64_t m_valid_until = 0;
+  std::int64_t m_began = 0;
+  std::vector<Request> m_requests;
+  int m_round = 0;
+  std::size_t m_asked = 0;
+  std::int64_t m_deadline = 0;
+  std::vector<std::pair<int, ServerStatus>> m_answers;
+
+  Store::Loaded m_loaded;
+  FenceRow m_row;
+  bool m_history_lost = false;
+  bool m_announced = false;
+  Update m_update = Update::kMark;
+  bool m_resume_after_update = false;
+  std::vector<std::pair<int, ServerStatus>> m_survey;
+  std::set<int> m_asked_primaries;
+  std::vector<std::pair<int, ServerStatus>> m_stepped_down;
+  Term m_stop_at;
+  int m_successor = 0;
+  int m_order = 0;
+
+  bool m_reserved = false;
+  std::optional<TokenReservation> m_reservation;
+  bool m_reservation_used = false;
+  bool m_reserving = false;
+  ReserveStage m_reserve_stage = ReserveStage::kIdle;
+  std::int64_t m_reserve_at = 0;
+  Store::Loaded m_reserve_loaded;
+  std::optional<ServerStatus> m_reserve_status;
+};
+
+}  // namespace cardamom::takeover_model
--- /dev/null
+++ b/tests/unit/takeover_world.h
@@ -0,0 +1,130 @@
+// What all parts of the takeover model share: the options of a walk, its source of randomness, its
+// clock and its trace. All times of the model are in milliseconds.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace cardamom::takeover_model {
+
+// The rule that a walk switches off. The comments say what happens without it.
+enum class Rule {
+  kNone,
+  // The longest log among the servers that answered is promoted, though others did not answer.
+  kAllReplicasAnswered,
+  // Orders, pauses and resumes are sent however late after the token was claimed.
+  kOrderDeadline,
+  // Tokens are claimed however soon after another proxy's claim.
+  kHoldOff,
+  // An open row counts as one without an outstanding order.
+  kOpenRow,
+  // The platform accepts orders with any token.
+  kFencingToken,
+  // A reserved token is used whatever the servers report.
+  kReservationChecks,
+  // A reservation in the row counts as one that was not used.
+  kReservationMayBeUsed,
+  // A reservation is forgotten once another one replaces it.
+  kReplacedReservation,
+  // A group whose row was lost in a restore counts as one without an outstanding order.
+  kHistoryLost,
+  // Tokens continue from the row of the copy.
+  kTokensGrowOverEras,
+  // Logs are compared while earlier orders may still be accepted.
+  kAnnounceFirst,
+  // Tokens are claimed while an accepted order may still be carried out.
+  kWaitUntilSettled,
+  // The primary that a proxy saw last counts as the lost one, though others answer in a newer term.
+  kLostPrimaryOfNewestTerm,
+  // Tokens are claimed while living servers may be missing from the list after an outage.
+  kListSettled,
+  // The row is marked as open after the comparison.
+  kMarkBeforeStopping,
+};
+
+// What can happen in a walk beyond crashes of the primary, outages of the store and orders whose
+// answers are lost.
+struct WalkOptions {
+  // Proxies may be cut off from servers that others reach.
+  bool cuts = false;
+  // The store may come back from an older copy.
+  bool restores = false;
+  // Orders may be accepted seconds after they were sent.
+  bool delayed_orders = true;
+  // Most orders are.
+  bool slow_platform = false;
+  // Requests to servers may take up to their time-out, and their answers may be lost.
+  bool delayed_requests = false;
+  // Proxies often take over although the primary answers, and many requests to servers take long.
+  bool contended = false;
+  // Calls to the store may take up to their time-out, and be carried out seconds later.
+  bool slow_store = false;
+  // Proxies may be suspended between any two steps.
+  bool suspensions = false;
+  // Replicas receive a part of the log, or nothing for seconds.
+  bool lag = false;
+  // Replicas crash and restart with their logs.
+  bool replica_crashes = false;
+  // Replicas crash and restart also while they are paused.
+  bool restarts_while_paused = false;
+  // Servers also begin to receive while a takeover is under way, or before they are listed: new
+  // ones and ones that return.
+  bool joins_during_takeover = false;
+  // Replicas restart without their logs, under the same id.
+  bool log_losses = false;
+  // Servers are replaced by new ones, which start before the old ones leave.
+  bool replacements = false;
+  // Servers that crashed may be gone for good; their logs move to new ones.
+  bool departures = false;
+  // Entries of the server list may lapse while the store is unavailable, and proxies may hold old
+  // lists and know a former primary.
+  bool old_lists = false;
+  // A departed server is ignored only if the chosen replica holds what the primary held when that
+  // server was certainly gone.
+  bool samples_departed = false;
+  // A replica counts as stopped only if it answers on a link that was opened some time before the
+  // claim, so that it is the listed incarnation.
+  bool checks_link_age = false;
+};
+
+class World {
+ public:
+  World(std::uint64_t seed, Rule off, WalkOptions options)
+      : m_options(options), m_random(seed), m_disabled_rule(off) {}
+
+  // The language does not fix the order in which the arguments of a call are evaluated, so a
+  // statement may call this at most once: otherwise seeds differ between compilers.
+  int Pick(int n) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(n)); }
+  bool OneIn(int n) { return Pick(n) == 0; }
+  bool IsDisabled(Rule rule) const { return m_disabled_rule == rule; }
+  const WalkOptions& options() const { return m_options; }
+  std::int64_t now() const { return m_now; }
+  void Advance(std::int64_t duration) { m_now += duration; }
+
+  void set_traced() { m_traced = true; }
+  template <typename... Args>
+  void Trace(fmt::format_string<Args...> format, Args&&... args) {
+    if (m_traced) {
+      m_trace.push_back(fmt::format("{:>6} ", m_now - kStart) +
+                        fmt::format(format, std::forward<Args>(args)...));
+    }
+  }
+  const std::vector<std::string>& trace() const { return m_trace; }
+
+ private:
+  static constexpr std::int64_t kStart = 100'000;
+
+  const WalkOptions m_options;
+  std::mt19937_64 m_random;
+  const Rule m_disabled_rule;
+  std::int64_t m_now = kStart;
+  bool m_traced = false;
+  std::vector<std::string> m_trace;
+};
+
+}  // namespace cardamom::takeover_model
