Takeover: at most one lost primary is ignored in the choice

Callers could lose an acknowledged commit: a server that was just promoted may share it with the former primary alone. If both are lost and both count as the old primary, a replica that lags was chosen.

Cause: every unanswered server marked as primary was left out of the condition that all replicas are stopped, and the log of any stopped primary stood for the whole log, also if a second primary was lost. Two servers are marked when this proxy has not learned of the promotion.

An acknowledged commit is on two servers, so one lost server, and not two, may be ignored.

--- a/src/failover/successor.cc
+++ b/src/failover/successor.cc
@@ -1,42 +1,66 @@
 #include "failover/successor.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace cardamom {
+namespace {
+
+// The servers that did not answer and may hold acknowledged commits.
+struct LostServers {
+  std::set<EndpointId> primaries;
+  std::set<EndpointId> replicas;
+};
+
+LostServers FindLostServers(const std::vector<StopResult>& servers) {
+  LostServers lost;
+  for (const auto& server : servers) {
+    if (!server.stopped && !server.safe_to_ignore) {
+      (server.was_primary ? lost.primaries : lost.replicas).insert(server.endpoint);
+    }
+  }
+  return lost;
+}
+
+bool HasShorterLog(const StopResult& left, const StopResult& right) {
+  return std::tie(left.received, right.endpoint) < std::tie(right.received, left.endpoint);
+}
+
+}  // namespace
 
 std::optional<EndpointId> ChooseSuccessor(const std::vector<StopResult>& servers) {
-  bool all_replicas_accounted_for = true;
   std::optional<Position> old_primary_end;
   Position longest;
   const StopResult* best_replica = nullptr;
   const StopResult* primary = nullptr;
   for (const auto& server : servers) {
     if (!server.stopped) {
-      all_replicas_accounted_for =
-          all_replicas_accounted_for && (server.was_primary || server.safe_to_ignore);
       continue;
     }
-    if (server.was_primary) {
-      old_primary_end = server.received;
-      primary = server.leaving ? nullptr : &server;
-      continue;
+    auto& best = server.was_primary ? primary : best_replica;
+    if (!server.leaving && (best == nullptr || HasShorterLog(*best, server))) {
+      best = &server;
     }
-    longest = std::max(longest, server.received);
-    if (!server.leaving &&
-        (best_replica == nullptr || std::tie(best_replica->received, server.endpoint) <
-                                        std::tie(server.received, best_replica->endpoint))) {
-      best_replica = &server;
+    if (server.was_primary) {
+      old_primary_end = std::max(old_primary_end.value_or(server.received), server.received);
+    } else {
+      longest = std::max(longest, server.received);
     }
   }
-  const bool longest_of_all =
-      best_replica != nullptr && all_replicas_accounted_for && best_replica->received == longest;
-  const bool holds_primary_log =
-      best_replica != nullptr && old_primary_end && best_replica->received >= *old_primary_end;
-  if (longest_of_all || holds_primary_log) {
-    return best_replica->endpoint;
+  if (best_replica != nullptr) {
+    const auto lost = FindLostServers(servers);
+    const bool holds_primary_log = old_primary_end && best_replica->received >= *old_primary_end;
+    const bool longest_of_all =
+        best_replica->received == longest && lost.replicas.empty() &&
+        (lost.primaries.empty() ||
+         (lost.primaries.size() == 1 && (!old_primary_end || holds_primary_log)));
+    if (longest_of_all || (holds_primary_log && lost.primaries.empty())) {
+      return best_replica->endpoint;
+    }
   }
-  if (primary != nullptr) {
+  if (primary != nullptr && primary->received == *old_primary_end &&
+      FindLostServers(servers).primaries.empty()) {
     return primary->endpoint;
   }
   return std::nullopt;
--- a/src/failover/successor.h
+++ b/src/failover/successor.h
@@ -26,11 +26,15 @@
 };
 
 // Returns the server to promote, which is known to hold every acknowledged commit, or nothing if
-// there is none. A commit is acknowledged once one replica has received it, so there are two cases:
-// either every replica is stopped or has `safe_to_ignore` set, and the stopped replica with the
-// longest log is chosen, or the old primary is stopped and the chosen replica holds its whole log.
-// A stopped old primary may become primary again if no replica is known to hold every commit. Pure
-// and thread safe.
+// there is none. A commit is acknowledged once one replica has received it, so it is on two
+// servers, and there are two cases:
+// - Every server is stopped or has `safe_to_ignore` set, except for at most one lost primary.
+//   The chosen replica has the longest log of the stopped ones. Two lost primaries, such as one
+//   that was just promoted and the former one, may have been the only two that held a commit.
+// - The old primary is stopped, no other primary is lost, and the chosen replica holds its whole
+//   log, whether or not the other replicas are stopped.
+// A stopped old primary may become primary again if no replica is known to hold every commit.
+// Pure and thread safe.
 std::optional<EndpointId> ChooseSuccessor(const std::vector<StopResult>& servers);
 
 }  // namespace cardamom
