Takeover: a departed replica is ignored only if its commits are held

Callers could lose a commit that a departed replica had acknowledged: the replica was ignored 4 s or 8 s after it left the list, on the assumption that the others had received everything by then. They have not while they lag, or while a primary that was just promoted alone holds commits of the former one.

Now a departed server is ignored only if the chosen log reaches a position that a primary reported when it was asked that long after the departure: the server acknowledged nothing later. The position is kept per departed server, since samples are dropped after 20 s, and the departed server is kept until there is one. A departed primary counts as the lost primary, and is ignored at once as a listed one is.

Cost: if the primary is lost before such a position is known, the group waits for it or for the departed server.

On DepartedServerTest.IsNotIgnoredWhileTheOthersLag, IsNotIgnoredIfThePrimaryWasNotAskedAfterTheDeparture and FormerPrimaryIsNotIgnoredWhileOnlyThePromotedOneHoldsItsCommits lose a commit, and LostPrimaryThatIsNoLongerListedIsReplaced stays without a primary.

--- a/src/failover/successor.cc
+++ b/src/failover/successor.cc
@@ -7,16 +7,17 @@
 namespace cardamom {
 namespace {
 
-// The servers that did not answer and may hold acknowledged commits.
+// The servers that may hold acknowledged commits beyond a log that was compared.
 struct LostServers {
   std::set<EndpointId> primaries;
   std::set<EndpointId> replicas;
 };
 
-LostServers FindLostServers(const std::vector<StopResult>& servers) {
+LostServers FindLostServers(const std::vector<StopResult>& servers, Position log_end) {
   LostServers lost;
   for (const auto& server : servers) {
-    if (!server.stopped && !server.safe_to_ignore) {
+    const bool covered = server.covered_by && *server.covered_by <= log_end;
+    if (!server.stopped && !covered) {
       (server.was_primary ? lost.primaries : lost.replicas).insert(server.endpoint);
     }
   }
@@ -49,7 +50,7 @@
     }
   }
   if (best_replica != nullptr) {
-    const auto lost = FindLostServers(servers);
+    const auto lost = FindLostServers(servers, best_replica->received);
     const bool holds_primary_log = old_primary_end && best_replica->received >= *old_primary_end;
     const bool longest_of_all =
         best_replica->received == longest && lost.replicas.empty() &&
@@ -60,7 +61,7 @@
     }
   }
   if (primary != nullptr && primary->received == *old_primary_end &&
-      FindLostServers(servers).primaries.empty()) {
+      FindLostServers(servers, primary->received).primaries.empty()) {
     return primary->endpoint;
   }
   return std::nullopt;
--- a/src/failover/successor.h
+++ b/src/failover/successor.h
@@ -18,9 +18,10 @@
   bool stopped = false;
   // The server is leaving or no longer listed, so it must not become primary.
   bool leaving = false;
-  // The server disappeared from the list so long ago that every commit acknowledged since then is
-  // on another replica, which also holds all earlier commits.
-  bool safe_to_ignore = false;
+  // The server, or an earlier process of it, has ended, and no commit after this position was
+  // acknowledged through it. So nothing is lost without it if the successor's log reaches this
+  // position. Nothing if no such position is known.
+  std::optional<Position> covered_by;
   // Last entry of the server's log; valid only if `stopped`.
   Position received;
 };
@@ -28,13 +29,14 @@
 // Returns the server to promote, which is known to hold every acknowledged commit, or nothing if
 // there is none. A commit is acknowledged once one replica has received it, so it is on two
 // servers, and there are two cases:
-// - Every server is stopped or has `safe_to_ignore` set, except for at most one lost primary.
+// - Every server is stopped or covered by the chosen replica, except for at most one lost primary.
 //   The chosen replica has the longest log of the stopped ones. Two lost primaries, such as one
 //   that was just promoted and the former one, may have been the only two that held a commit.
 // - The old primary is stopped, no other primary is lost, and the chosen replica holds its whole
 //   log, whether or not the other replicas are stopped.
 // A stopped old primary may become primary again if no replica is known to hold every commit.
-// Pure and thread safe.
+// Several entries with the same id stand for successive processes of one server. Pure and thread
+// safe.
 std::optional<EndpointId> ChooseSuccessor(const std::vector<StopResult>& servers);
 
 }  // namespace cardamom
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -63,6 +63,16 @@
   co_return co_await pool->Acquire({}, LinkUse::kControl, deadline);
 }
 
+void RecordPosition(DepartedServer& server, BootTime asked_at, Position position) {
+  const auto record = [&](std::optional<Position>& least, Millis gone_for) {
+    if (asked_at >= server.departed_at + gone_for) {
+      least = std::min(least.value_or(position), position);
+    }
+  };
+  record(server.position_after_exit, kGoneAfterProcessExit);
+  record(server.position_after_no_answer, kGoneAfterNoAnswer);
+}
+
 EndpointRequest OwnRequest(EndpointOperation operation, Term term = {}) {
   EndpointRequest request;
   request.operation = operation;
@@ -149,10 +159,8 @@
 
 void GroupClient::DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed) {
   const auto now = Clock::now();
-  std::erase_if(m_departed, [&](const DepartedServer& server) {
-    return now - server.since > kDepartedRetention ||
-           (!server.restarted && listed.contains(server.endpoint->entry.id));
-  });
+  std::erase_if(m_departed,
+                [&](DepartedServer& server) { return ForgetDeparted(server, listed, now); });
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     const auto found = listed.find(it->first);
     const bool same = found != listed.end() &&
@@ -163,7 +171,13 @@
       continue;
     }
     if (!it->second->entry.leaving) {
-      m_departed.push_back({it->second, now, found != listed.end(), m_primary == it->first});
+      DepartedServer departed;
+      departed.endpoint = it->second;
+      departed.since = now;
+      departed.departed_at = BootClock::now();
+      departed.restarted = found != listed.end();
+      departed.was_primary = IsLatestPrimary(it->second);
+      m_departed.push_back(std::move(departed));
     }
     it->second->pool->Retire();
     m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
@@ -174,6 +188,25 @@
   }
 }
 
+bool GroupClient::ForgetDeparted(DepartedServer& server,
+                                 const std::map<EndpointId, const EndpointEntry*>& listed,
+                                 TimePoint now) {
+  if (!server.restarted && listed.contains(server.endpoint->entry.id)) {
+    return true;
+  }
+  const auto& position =
+      server.restarted ? server.position_after_exit : server.position_after_no_answer;
+  if (now - server.since <= kDepartedRetention || !position) {
+    return false;
+  }
+  m_departed_position = std::max(m_departed_position.value_or(*position), *position);
+  return true;
+}
+
+bool GroupClient::IsLatestPrimary(const EndpointPtr& endpoint) const {
+  return m_latest_primary ? m_latest_primary == endpoint : endpoint->entry.claims_primary;
+}
+
 std::vector<DepartedServer> GroupClient::Departed() const {
   return m_departed;
 }
@@ -455,6 +488,7 @@
 }
 
 void GroupClient::SetPrimary(const EndpointPtr& endpoint, Term term, const char* source) {
+  m_latest_primary = endpoint;
   if (m_primary == endpoint->entry.id && m_term == term) {
     return;
   }
@@ -477,6 +511,9 @@
   m_primary_asked_at = std::max(m_primary_asked_at, asked_at);
   SetPrimary(endpoint, position.term, "answer");
   m_watermarks.Add(asked_at, position);
+  for (auto& server : m_departed) {
+    RecordPosition(server, asked_at, position);
+  }
   m_last_primary_answer_at = Clock::now();
   m_lost_since.reset();
   endpoint->consecutive_failures = 0;
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -29,15 +29,27 @@
   std::optional<TimePoint> stalled_since;
 };
 
+// A departed server whose process has been gone for this long acknowledges nothing any more.
+constexpr Millis kGoneAfterProcessExit{4000};
+// As above, for a server whose process is not known to be gone: neither the store nor this proxy
+// receives anything from it.
+constexpr Millis kGoneAfterNoAnswer{8000};
+
 // A server that disappeared from the list without announcing that it leaves. It may only be cut off
-// from the store, and still acknowledge commits.
+// from the store, and still acknowledge commits; or it may have been the only replica that had
+// received a commit.
 struct DepartedServer {
   std::shared_ptr<Endpoint> endpoint;
   TimePoint since;
+  BootTime departed_at;
   // The server has restarted under the same id, without its log.
   bool restarted = false;
-  // The server was the primary. A commit that it alone held was never acknowledged.
+  // The server was the latest primary.
   bool was_primary = false;
+  // Least position that a primary reported when it was asked kGoneAfterProcessExit or
+  // kGoneAfterNoAnswer after the departure. If the server is gone, it acknowledged no later commit.
+  std::optional<Position> position_after_exit;
+  std::optional<Position> position_after_no_answer;
 };
 
 // A request of a takeover to a server. A value type.
@@ -135,8 +147,15 @@
   const std::map<EndpointId, EndpointPtr>& endpoints() const { return m_endpoints; }
   // The listed server with this id, or nullptr if there is none.
   EndpointPtr Find(const EndpointId& id) const;
-  // Servers that departed without notice within the last 30 s, as of the last Update.
+  // The departed servers as of the last Update, except those that departed more than 30 s ago and
+  // are covered by DepartedPosition().
   std::vector<DepartedServer> Departed() const;
+  // Servers that departed earlier than those in Departed() acknowledged no commit after this
+  // position; nothing if there are none.
+  const std::optional<Position>& DepartedPosition() const { return m_departed_position; }
+  // Whether `endpoint` is the process that last answered as the primary or, if none has yet, that
+  // the list shows as the primary.
+  bool IsLatestPrimary(const EndpointPtr& endpoint) const;
   // The servers as the list shows them.
   ServerListSnapshot SnapshotServerList() const;
   // Servers may be missing from the list for `span`, in which IsListSettled() does not hold.
@@ -170,6 +189,10 @@
   void AddEndpoint(const EndpointEntry& entry);
   // Drops the servers that `listed` lacks, or shows with another address or start time.
   void DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed);
+  // Updates or removes a departed server after the list was read. Returns whether it is removed.
+  bool ForgetDeparted(DepartedServer& server,
+                      const std::map<EndpointId, const EndpointEntry*>& listed,
+                      TimePoint now);
   void RecordPrimaryLost();
   void SetPrimary(const EndpointPtr& endpoint, Term term, const char* source);
   asio::awaitable<void> Watch();
@@ -188,10 +211,13 @@
   Share m_share;
   std::map<EndpointId, EndpointPtr> m_endpoints;
   std::vector<DepartedServer> m_departed;
+  std::optional<Position> m_departed_position;
   std::optional<TimePoint> m_first_listed;
   TimePoint m_list_settles_at;
   TimePoint m_connection_limit_seen_at;
   std::optional<EndpointId> m_primary;
+  // The server that last answered as the primary, also after it was lost.
+  EndpointPtr m_latest_primary;
   Term m_term;
   WatermarkHistory m_watermarks;
   PrimaryHealth m_health;
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -17,13 +17,6 @@
 // Longest time from an accepted order to the answers of the new primary.
 constexpr Millis kPromotionTimeout{3000};
 constexpr Millis kPromotionPollInterval{50};
-// A departed replica whose process has been gone for this long has acknowledged nothing since; what
-// it had acknowledged before has reached the others.
-constexpr Millis kGoneAfterProcessExit{4000};
-// As above, for a server whose process is not known to be gone: neither the store nor this proxy
-// receives anything from it.
-constexpr Millis kGoneAfterNoAnswer{8000};
-
 // A server that obeyed the stop shows it in its status: a replica is paused at `stop_at` or a
 // greater term, and a primary that stepped down is no primary. With any other status the stop came
 // too late.
@@ -31,38 +24,65 @@
   return was_primary ? !status.is_primary : status.paused_at >= stop_at;
 }
 
-StopResult MakeStopResult(const Endpoint& endpoint,
-                          const ServerAnswers& answers,
-                          bool was_primary,
-                          Term stop_at) {
-  StopResult server;
-  server.endpoint = endpoint.entry.id;
-  server.leaving = endpoint.entry.leaving;
-  server.was_primary = was_primary;
-  const auto answer = answers.statuses.find(server.endpoint);
-  if (answer != answers.statuses.end() && IsStopped(answer->second, was_primary, stop_at)) {
-    server.stopped = true;
-    server.received = answer->second.received;
-  }
-  return server;
-}
+// Collects the results of stopping the servers of a group.
+class StopResults {
+ public:
+  explicit StopResults(Term stop_at) : m_stop_at(stop_at) {}
 
-StopResult MakeDepartedStopResult(const DepartedServer& departed,
-                                  const ServerAnswers& paused,
-                                  Term stop_at) {
-  const ServerAnswers none;
-  auto server =
-      MakeStopResult(*departed.endpoint, departed.restarted ? none : paused, false, stop_at);
-  server.leaving = true;
-  const auto failure = paused.failures.find(server.endpoint);
-  const bool process_gone =
-      departed.restarted || (failure != paused.failures.end() &&
-                             (failure->second.code == ResultCode::kBadAnswer ||
-                              failure->second.code == ResultCode::kConnectionRefused));
-  const auto gone_for = Clock::now() - departed.since;
-  server.safe_to_ignore = gone_for > (process_gone ? kGoneAfterProcessExit : kGoneAfterNoAnswer);
-  return server;
-}
+  void AddListed(const GroupClient::EndpointPtr& endpoint,
+                 const ServerAnswers& answers,
+                 bool was_primary) {
+    m_servers.push_back(MakeResult(*endpoint, answers, was_primary));
+  }
+
+  void AddDeparted(const DepartedServer& departed, const ServerAnswers& paused) {
+    const ServerAnswers none;
+    const auto& answers = departed.restarted ? none : paused;
+    auto server = MakeResult(*departed.endpoint, answers, false);
+    server.leaving = true;
+    if (server.stopped) {
+      m_servers.push_back(server);
+      return;
+    }
+    const auto failure = paused.failures.find(server.endpoint);
+    const bool process_gone =
+        departed.restarted || (failure != paused.failures.end() &&
+                               (failure->second.code == ResultCode::kBadAnswer ||
+                                failure->second.code == ResultCode::kConnectionRefused));
+    server.was_primary = departed.was_primary;
+    server.covered_by =
+        process_gone ? departed.position_after_exit : departed.position_after_no_answer;
+    m_servers.push_back(server);
+  }
+
+  void AddDepartedEarlier(Position covered_by) {
+    StopResult server;
+    server.leaving = true;
+    server.covered_by = covered_by;
+    m_servers.push_back(server);
+  }
+
+  std::vector<StopResult> Take() { return std::move(m_servers); }
+
+ private:
+  StopResult MakeResult(const Endpoint& endpoint,
+                        const ServerAnswers& answers,
+                        bool was_primary) const {
+    StopResult server;
+    server.endpoint = endpoint.entry.id;
+    server.leaving = endpoint.entry.leaving;
+    server.was_primary = was_primary;
+    const auto answer = answers.statuses.find(server.endpoint);
+    if (answer != answers.statuses.end() && IsStopped(answer->second, was_primary, m_stop_at)) {
+      server.stopped = true;
+      server.received = answer->second.received;
+    }
+    return server;
+  }
+
+  const Term m_stop_at;
+  std::vector<StopResult> m_servers;
+};
 
 }  // namespace
 
@@ -124,18 +144,20 @@
   const auto stepped = co_await SendToServers(context, group, reached, stop);
   stop.operation = EndpointOperation::kPause;
   const auto paused = co_await SendToServers(context, group, asked, stop);
-  std::vector<StopResult> servers;
-  servers.reserve(primaries.size() + replicas.size() + departed.size());
+  StopResults results(stop.term);
   for (const auto& endpoint : primaries) {
-    servers.push_back(MakeStopResult(*endpoint, stepped, true, stop.term));
+    results.AddListed(endpoint, stepped, true);
   }
   for (const auto& endpoint : replicas) {
-    servers.push_back(MakeStopResult(*endpoint, paused, false, stop.term));
+    results.AddListed(endpoint, paused, false);
   }
   for (const auto& server : departed) {
-    servers.push_back(MakeDepartedStopResult(server, paused, stop.term));
+    results.AddDeparted(server, paused);
+  }
+  if (const auto& position = group->DepartedPosition()) {
+    results.AddDepartedEarlier(*position);
   }
-  co_return servers;
+  co_return results.Take();
 }
 
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
@@ -192,12 +214,13 @@
 std::string DescribeStopped(const std::vector<StopResult>& servers) {
   std::string text;
   for (const auto& server : servers) {
+    const auto shown = server.stopped ? server.received : server.covered_by.value_or(Position());
     text +=
         fmt::format(" {}{}={}.{}{}", server.endpoint.value(), server.was_primary ? "(primary)" : "",
-                    server.received.term.value(), server.received.index.value(),
-                    server.stopped          ? ""
-                    : server.safe_to_ignore ? "(departed)"
-                                            : "(not stopped)");
+                    shown.term.value(), shown.index.value(),
+                    server.stopped      ? ""
+                    : server.covered_by ? "(ended, covered by this position)"
+                                        : "(not stopped)");
   }
   return text;
 }
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -30,8 +30,8 @@
 
 // Pauses the replicas of a group at `stop.term`, makes the primaries step down, and returns how far
 // their logs reach. Departed servers that have not restarted are paused as well; the result has an
-// entry for every departed server. `stop.operation` is ignored. `statuses`: what the servers
-// reported just before; a primary that is missing there is not asked. Not thread safe.
+// entry for every departed server. `stop.operation` is ignored. `statuses`: what the
+// servers reported just before; a primary that is missing there is not asked. Not thread safe.
 asio::awaitable<std::vector<StopResult>> StopServers(GatewayContext& context,
                                                      std::shared_ptr<GroupClient> group,
                                                      ServerStatuses statuses,
--- /dev/null
+++ b/tests/unit/departed_server_test.cc
@@ -0,0 +1,104 @@
+// A server that has disappeared from the list may hold acknowledged commits that no listed replica
+// has received.
+#include <gtest/gtest.h>
+
+#include "takeover_fixture.h"
+
+namespace cardamom::testing {
+namespace {
+
+// Longer than the time after which a server whose process is gone acknowledges nothing.
+constexpr Millis kGone{4100};
+
+class DepartedServerTest : public TakeoverFixture {
+ protected:
+  // Commits one entry that e1 receives and e2 does not.
+  void CommitOnFirstReplicaOnly() {
+    m_fake_group.server(2).replication_blocked = true;
+    ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+    Sample(0);
+  }
+
+  // Lets e2 receive what it lacks.
+  void CatchUp() {
+    m_fake_group.server(2).replication_blocked = false;
+    m_fake_group.server(2).log = m_fake_group.server(0).log;
+  }
+
+  // e1 ends and, once the list no longer shows it, `time` passes.
+  void FirstReplicaDeparts(Millis time) {
+    m_fake_group.Exit(m_fake_group.server(1));
+    List(EntriesWithout("e1"));
+    Wait(time);
+  }
+};
+
+// Guards against a lost commit: the only replica that had received it departed, and was ignored
+// after 4 s although the other one lagged behind.
+TEST_F(DepartedServerTest, IsNotIgnoredWhileTheOthersLag) {
+  CommitOnFirstReplicaOnly();
+  FirstReplicaDeparts(kGone);
+  Sample(0);
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+  EXPECT_TRUE(m_orders.empty());
+}
+
+// Guards against a group that stays without a primary after a replica is gone for good.
+TEST_F(DepartedServerTest, IsIgnoredOnceAnotherReplicaHoldsAllThatItCanHaveAcknowledged) {
+  CommitOnFirstReplicaOnly();
+  FirstReplicaDeparts(kGone);
+  Sample(0);
+  CatchUp();
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_fake_group.server(2).is_primary);
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a lost commit: the primary crashed soon after the departed replica acknowledged
+// its last commits, so no position of the primary is known that covers them.
+TEST_F(DepartedServerTest, IsNotIgnoredIfThePrimaryWasNotAskedAfterTheDeparture) {
+  Sample(0);
+  m_fake_group.server(2).replication_blocked = true;
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_fake_group.server(0).unresponsive = true;
+  FirstReplicaDeparts(kGone);
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+  // The crashed primary returns with its log.
+  m_fake_group.server(0).unresponsive = false;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_fake_group.server(0).is_primary);
+}
+
+// Guards against a lost commit: a primary that was just promoted held commits of the former primary
+// that the other replica had not received yet. The former primary departed and was ignored, so that
+// the lagging replica counted as the longest log.
+TEST_F(DepartedServerTest, FormerPrimaryIsNotIgnoredWhileOnlyThePromotedOneHoldsItsCommits) {
+  CommitOnFirstReplicaOnly();
+  m_fake_group.server(0).unresponsive = true;
+  ASSERT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  ASSERT_TRUE(m_fake_group.server(1).is_primary);
+  m_fake_group.Exit(m_fake_group.server(0));
+  List(EntriesWithout("e0"));
+  Wait(kGone);
+  Sample(1);
+  m_fake_group.server(1).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a group that stays without a primary: the list drops a crashed primary, which
+// gives no position after its departure.
+TEST_F(DepartedServerTest, LostPrimaryThatIsNoLongerListedIsReplaced) {
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_fake_group.Exit(m_fake_group.server(0));
+  List(EntriesWithout("e0"));
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+}  // namespace
+}  // namespace cardamom::testing
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -12,15 +12,20 @@
 
 class FakeLink : public EndpointLink {
  public:
-  FakeLink(FakeGroup& group, FakeServer& server) : m_group(group), m_server(server) {}
+  FakeLink(FakeGroup& group, FakeServer& server)
+      : m_group(group), m_server(server), m_process(server.process) {}
 
   asio::awaitable<BatchReply> Run(std::vector<EndpointRequest> requests,
                                   TimePoint deadline) override {
     BatchReply batch;
     for (const auto& request : requests) {
+      if (!IsOpen()) {
+        batch.failure = Error{ResultCode::kTransport, "reset", Ran::kUnknown};
+        co_return batch;
+      }
       const bool is_statement = !request.id.value().empty();
       const bool too_late = is_statement && Clock::now() + m_server.statement_duration > deadline;
-      if (m_server.unresponsive || too_late) {
+      if (m_server.unresponsive || m_server.cut_off || too_late) {
         while (Clock::now() < deadline) {
           co_await Sleep(Millis(5));
         }
@@ -32,11 +37,22 @@
         co_await Sleep(m_server.statement_duration);
       }
       batch.replies.push_back(Answer(request));
+      if (m_server.restarts_after_status && request.operation == EndpointOperation::kStatus) {
+        m_server.restarts_after_status = false;
+        m_group.Restart(m_server, m_server.entry.started_ms);
+      }
+      if (m_server.restarts_after_pause && request.operation == EndpointOperation::kPause) {
+        m_server.restarts_after_pause = false;
+        m_group.Restart(m_server, m_server.entry.started_ms, true);
+        if (auto* primary = m_group.FindPrimary()) {
+          m_group.Commit(*primary, "after-restart");
+        }
+      }
     }
     co_return batch;
   }
-  bool IsOpen() const override { return m_open; }
-  bool IsReusable() override { return m_open; }
+  bool IsOpen() const override { return m_open && m_process == m_server.process; }
+  bool IsReusable() override { return IsOpen(); }
   void Close() override { m_open = false; }
 
  private:
@@ -154,6 +170,7 @@
 
   FakeGroup& m_group;
   FakeServer& m_server;
+  const int m_process;
   bool m_open = true;
   bool m_in_transaction = false;
   SessionValues m_values;
@@ -165,10 +182,10 @@
                                                                  EndpointEntry entry,
                                                                  TimePoint deadline) {
   auto* server = group.Find(entry.id.value());
-  if (server == nullptr) {
+  if (server == nullptr || server->exited) {
     co_return Error{ResultCode::kConnectionRefused, "gone", Ran::kNo};
   }
-  if (server->unresponsive) {
+  if (server->unresponsive || server->cut_off) {
     while (Clock::now() < deadline) {
       co_await Sleep(Millis(5));
     }
@@ -207,6 +224,12 @@
   return it == m_servers.end() ? nullptr : it->get();
 }
 
+FakeServer* FakeGroup::FindPrimary() {
+  const auto it = std::find_if(m_servers.begin(), m_servers.end(),
+                               [](const auto& server) { return server->is_primary; });
+  return it == m_servers.end() ? nullptr : it->get();
+}
+
 std::vector<EndpointEntry> FakeGroup::Entries() const {
   std::vector<EndpointEntry> entries;
   for (const auto& server : m_servers) {
@@ -227,7 +250,7 @@
   primary.log.push_back(commit);
   bool received = false;
   for (const auto& server : m_servers) {
-    const bool receives = !server->is_primary && !server->unresponsive &&
+    const bool receives = !server->is_primary && !server->unresponsive && !server->exited &&
                           !server->replication_blocked && server->paused_at.value() == 0 &&
                           server->term == primary.term;
     if (server.get() != &primary && receives) {
@@ -251,13 +274,34 @@
   for (const auto& server : m_servers) {
     server->is_primary = server.get() == new_primary;
     server->paused_at = Term();
-    if (!server->unresponsive) {
-      server->term = next;
+    if (server->unresponsive || server->exited) {
+      continue;
+    }
+    server->term = next;
+    if (!server->replication_blocked) {
       server->log = new_primary->log;
+    } else if (server->log.size() > new_primary->log.size()) {
+      server->log.resize(new_primary->log.size());
     }
   }
 }
 
+void FakeGroup::Exit(FakeServer& server) {
+  server.exited = true;
+  ++server.process;
+}
+
+void FakeGroup::Restart(FakeServer& server, std::int64_t started_ms, bool keeps_log) {
+  server.exited = false;
+  ++server.process;
+  server.entry.started_ms = started_ms;
+  server.paused_at = Term();
+  server.is_primary = server.is_primary && keeps_log;
+  if (!keeps_log) {
+    server.log.clear();
+  }
+}
+
 TablePort FakeTable::Port() {
   TablePort port;
   port.read = [this](std::string table,
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -26,15 +26,26 @@
   std::string text;
 };
 
-// A database server. Replication is immediate unless the replica is paused, `unresponsive` or
-// `replication_blocked`, or has another term than the primary.
+// A database server. Replication is immediate unless the replica is paused, `unresponsive`,
+// `replication_blocked` or not running, or has another term than the primary.
 struct FakeServer {
   EndpointEntry entry;
   bool is_primary = false;
   // Answers nothing and receives no log entries.
   bool unresponsive = false;
+  // Answers nothing to proxies, but replicates and receives log entries.
+  bool cut_off = false;
   // As a replica, receives no log entries, but answers.
   bool replication_blocked = false;
+  // The process has ended: its links are broken, and new ones are refused.
+  bool exited = false;
+  // Number of the process; a link fails once the process that accepted it has ended.
+  int process = 1;
+  // The process is replaced by one without a log once it has answered a status request.
+  bool restarts_after_status = false;
+  // The process restarts with its log once it has answered a pause, and receives a commit of the
+  // primary if there is one.
+  bool restarts_after_pause = false;
   // Refuses statements with kBusy.
   bool busy = false;
   // Time that a statement takes.
@@ -64,6 +75,8 @@
   FakeServer& server(std::size_t index) { return *m_servers[index]; }
   // Returns null if there is no such server.
   FakeServer* Find(const std::string& id);
+  // Returns null if there is none.
+  FakeServer* FindPrimary();
   std::vector<EndpointEntry> Entries() const;
   // The group must outlive the opener and its links.
   LinkOpener Opener();
@@ -71,8 +84,14 @@
   // Appends `text` at the primary and replicates to every replica that can receive. Returns whether
   // at least one received it; only then is the commit acknowledged.
   bool Commit(FakeServer& primary, const std::string& text);
-  // Carries out a promotion order: `id` becomes the primary of the next term, and every server that
-  // is not `unresponsive` takes over its log and that term. Precondition: there is a server `id`.
+  // Ends the server's process, which breaks its links. The list does not change.
+  void Exit(FakeServer& server);
+  // Starts the server again, with `started_ms` in its entry: as a replica without a log, as the
+  // primary that it was with its log if `keeps_log`.
+  void Restart(FakeServer& server, std::int64_t started_ms, bool keeps_log = false);
+  // Carries out a promotion order: `id` becomes the primary of the next term. Every server that
+  // runs and is not `unresponsive` takes over that term and its log; one with `replication_blocked`
+  // only loses what the new primary lacks. Precondition: there is a server `id`.
   void Promote(const std::string& id);
 
   // Texts of all commits that were acknowledged to a caller.
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -43,6 +43,7 @@
         co_return OrderResult::kRejected;
       }
       m_greatest_token = token;
+      m_lost = m_lost || m_fake_group.Find(endpoint)->log.size() < m_fake_group.acknowledged.size();
       m_fake_group.Promote(endpoint);
       co_return OrderResult::kAccepted;
     };
@@ -69,6 +70,40 @@
     co_return true;
   }
 
+  // Has the proxy read a list that shows `entries`, which stay listed.
+  void List(std::vector<EndpointEntry> entries) {
+    m_listed = std::move(entries);
+    m_gateway.Run([this]() -> asio::awaitable<void> {
+      const bool refreshed = co_await Refresh();
+      EXPECT_TRUE(refreshed);
+    });
+  }
+
+  // The list without the server `id`.
+  std::vector<EndpointEntry> EntriesWithout(const std::string& id) const {
+    auto entries = m_fake_group.Entries();
+    std::erase_if(entries, [&](const auto& entry) { return entry.id.value() == id; });
+    return entries;
+  }
+
+  // Lets time pass for the proxy.
+  void Wait(Millis time) {
+    m_gateway.Run([time]() -> asio::awaitable<void> { co_await Sleep(time); });
+  }
+
+  // Asks server `index` for its position as the primary, as the proxy does several times a second.
+  void Sample(std::size_t index) {
+    m_gateway.Run([this, index]() -> asio::awaitable<void> {
+      const auto endpoint = m_gateway.group->Find(m_fake_group.server(index).entry.id);
+      const auto position =
+          co_await m_gateway.group->ProbeIfPrimary(endpoint, Clock::now() + Millis(200));
+      EXPECT_TRUE(position);
+    });
+  }
+
+  // Whether every server that was promoted held all commits acknowledged until then.
+  bool WasNothingLost() const { return !m_lost; }
+
   TakeoverResult Run(TakeoverReason reason) {
     auto result = TakeoverResult::kBackedOff;
     m_gateway.Run([&]() -> asio::awaitable<void> {
@@ -91,6 +126,8 @@
   std::vector<std::pair<std::string, std::uint64_t>> m_orders;
   std::uint64_t m_greatest_token = 0;
   bool m_lose_answer = false;
+  // A promoted server lacked an acknowledged commit.
+  bool m_lost = false;
   // The server list in the store, if it lacks some servers.
   std::optional<std::vector<EndpointEntry>> m_listed;
   bool m_store_was_unavailable = false;
