Takeover: a server that left as announced counts as departed

Callers could lose a commit: a replica that is draining acknowledges until its end, but once the list dropped it, it was neither asked nor missed.

Announced departures are recorded like others, and are ignored under the same condition. They still allow a reservation, and do not count in ShowNoTakeover.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -170,15 +170,14 @@
       ++it;
       continue;
     }
-    if (!it->second->entry.leaving) {
-      DepartedServer departed;
-      departed.endpoint = it->second;
-      departed.since = now;
-      departed.departed_at = BootClock::now();
-      departed.restarted = found != listed.end();
-      departed.was_primary = IsLatestPrimary(it->second);
-      m_departed.push_back(std::move(departed));
-    }
+    DepartedServer departed;
+    departed.endpoint = it->second;
+    departed.since = now;
+    departed.departed_at = BootClock::now();
+    departed.restarted = found != listed.end();
+    departed.was_primary = IsLatestPrimary(it->second);
+    departed.announced = it->second->entry.leaving;
+    m_departed.push_back(std::move(departed));
     it->second->pool->Retire();
     m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
     if (m_primary == it->first) {
@@ -213,7 +212,9 @@
 
 ServerListSnapshot GroupClient::SnapshotServerList() const {
   ServerListSnapshot snapshot;
-  snapshot.changing = !m_departed.empty() || !IsListSettled();
+  snapshot.changing = !IsListSettled() ||
+                      std::any_of(m_departed.begin(), m_departed.end(),
+                                  [](const DepartedServer& server) { return !server.announced; });
   for (const auto& [id, endpoint] : m_endpoints) {
     snapshot.servers.push_back({id, endpoint->entry.started_ms});
     snapshot.changing = snapshot.changing || endpoint->entry.leaving;
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -35,9 +35,8 @@
 // receives anything from it.
 constexpr Millis kGoneAfterNoAnswer{8000};
 
-// A server that disappeared from the list without announcing that it leaves. It may only be cut off
-// from the store, and still acknowledge commits; or it may have been the only replica that had
-// received a commit.
+// A server that disappeared from the list. It may only be cut off from the store, and still
+// acknowledge commits; or it may have been the only replica that had received a commit.
 struct DepartedServer {
   std::shared_ptr<Endpoint> endpoint;
   TimePoint since;
@@ -46,6 +45,8 @@
   bool restarted = false;
   // The server was the latest primary.
   bool was_primary = false;
+  // The server had announced that it leaves.
+  bool announced = false;
   // Least position that a primary reported when it was asked kGoneAfterProcessExit or
   // kGoneAfterNoAnswer after the departure. If the server is gone, it acknowledged no later commit.
   std::optional<Position> position_after_exit;
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -191,7 +191,9 @@
     listed.push_back(id);
   }
   for (const auto& departed : group.Departed()) {
-    listed.push_back(departed.endpoint->entry.id);
+    if (!departed.announced) {
+      listed.push_back(departed.endpoint->entry.id);
+    }
   }
   return ShowNoTakeover(listed, group.primary_id(), ToSurveyedServers(statuses));
 }
--- a/tests/unit/departed_server_test.cc
+++ b/tests/unit/departed_server_test.cc
@@ -31,6 +31,12 @@
     List(EntriesWithout("e1"));
     Wait(time);
   }
+
+  void AnnounceThatFirstReplicaLeaves() {
+    auto entries = m_fake_group.Entries();
+    entries[1].leaving = true;
+    List(entries);
+  }
 };
 
 // Guards against a lost commit: the only replica that had received it departed, and was ignored
@@ -100,5 +106,27 @@
   EXPECT_TRUE(WasNothingLost());
 }
 
+// Guards against a lost commit: a replica that left as announced did not count as departed,
+// although it had acknowledged commits until its end.
+TEST_F(DepartedServerTest, AnnouncedDepartureIsNotIgnoredWhileTheOthersLag) {
+  CommitOnFirstReplicaOnly();
+  AnnounceThatFirstReplicaLeaves();
+  FirstReplicaDeparts(Millis(10));
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+TEST_F(DepartedServerTest, AnnouncedDepartureIsIgnoredOnceAnotherReplicaHoldsItsCommits) {
+  CommitOnFirstReplicaOnly();
+  AnnounceThatFirstReplicaLeaves();
+  FirstReplicaDeparts(kGone);
+  Sample(0);
+  CatchUp();
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
 }  // namespace
 }  // namespace cardamom::testing
