Takeover: a restart does not end a departure

Callers could lose a commit: a replica that had left the list came back under its id without its log, and its record as departed was erased, so its empty log counted as that of the replica.

The record is erased only if the list shows the same start time.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -190,8 +190,13 @@
 bool GroupClient::ForgetDeparted(DepartedServer& server,
                                  const std::map<EndpointId, const EndpointEntry*>& listed,
                                  TimePoint now) {
-  if (!server.restarted && listed.contains(server.endpoint->entry.id)) {
-    return true;
+  const auto& entry = server.endpoint->entry;
+  const auto found = listed.find(entry.id);
+  if (!server.restarted && found != listed.end()) {
+    if (found->second->started_ms == entry.started_ms) {
+      return true;
+    }
+    server.restarted = true;
   }
   const auto& position =
       server.restarted ? server.position_after_exit : server.position_after_no_answer;
--- a/tests/unit/departed_server_test.cc
+++ b/tests/unit/departed_server_test.cc
@@ -128,5 +128,32 @@
   EXPECT_TRUE(WasNothingLost());
 }
 
+// Guards against a lost commit: a replica that had departed returned without its log under its old
+// id, and counted as the replica that had departed.
+TEST_F(DepartedServerTest, ReturnWithoutItsLogDoesNotEndADeparture) {
+  CommitOnFirstReplicaOnly();
+  FirstReplicaDeparts(Millis(10));
+  m_fake_group.Restart(m_fake_group.server(1), 1000);
+  m_fake_group.server(1).replication_blocked = true;
+  List(m_fake_group.Entries());
+  Sample(0);
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a group that stays without a primary: a replica that is listed again, such as
+// after an outage of the store, has not departed.
+TEST_F(DepartedServerTest, ReturnOfTheSameProcessEndsADeparture) {
+  CommitOnFirstReplicaOnly();
+  List(EntriesWithout("e1"));
+  List(m_fake_group.Entries());
+  Sample(0);
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_fake_group.server(1).is_primary);
+  EXPECT_TRUE(WasNothingLost());
+}
+
 }  // namespace
 }  // namespace cardamom::testing
