Takeover: a log that shrank before the stop does not count

Callers could lose a commit: a primary reported its status, restarted without its log or was rolled back, and answered the stop as a replica. Its shorter log passed for the whole log of the old primary, so a replica that reached it was promoted while another one did not answer.

A server whose log is shorter in the answer to the stop than in the status just before does not count as stopped.

--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -24,10 +24,19 @@
   return was_primary ? !status.is_primary : status.paused_at >= stop_at;
 }
 
+// Whether the log is shorter than the server reported just before the stop: it restarted or was
+// rolled back in between.
+bool HasLostEntries(const EndpointStatus& stopped,
+                    const EndpointId& id,
+                    const ServerStatuses& before) {
+  const auto reported = before.find(id);
+  return reported != before.end() && stopped.received < reported->second.received;
+}
+
 // Collects the results of stopping the servers of a group.
 class StopResults {
  public:
-  explicit StopResults(Term stop_at) : m_stop_at(stop_at) {}
+  StopResults(const ServerStatuses& before, Term stop_at) : m_before(before), m_stop_at(stop_at) {}
 
   void AddListed(const GroupClient::EndpointPtr& endpoint,
                  const ServerAnswers& answers,
@@ -73,13 +82,15 @@
     server.leaving = endpoint.entry.leaving;
     server.was_primary = was_primary;
     const auto answer = answers.statuses.find(server.endpoint);
-    if (answer != answers.statuses.end() && IsStopped(answer->second, was_primary, m_stop_at)) {
+    if (answer != answers.statuses.end() && IsStopped(answer->second, was_primary, m_stop_at) &&
+        !HasLostEntries(answer->second, server.endpoint, m_before)) {
       server.stopped = true;
       server.received = answer->second.received;
     }
     return server;
   }
 
+  const ServerStatuses& m_before;
   const Term m_stop_at;
   std::vector<StopResult> m_servers;
 };
@@ -144,7 +155,7 @@
   const auto stepped = co_await SendToServers(context, group, reached, stop);
   stop.operation = EndpointOperation::kPause;
   const auto paused = co_await SendToServers(context, group, asked, stop);
-  StopResults results(stop.term);
+  StopResults results(statuses, stop.term);
   for (const auto& endpoint : primaries) {
     results.AddListed(endpoint, stepped, true);
   }
