Takeover: an answer counts only for the process that gave it

Callers could lose a commit: a server that had restarted without its log answered under its old id before the list showed the restart, and its empty log counted as that of the process that had acknowledged commits.

An answer on a link that was opened less than 7 s ago, with a log behind the latest position of the primary, may come from a new process. The earlier one then counts as ended when the link was opened: it is ignored only if the chosen log reaches a position that the primary reported for a later request. For a server that is not listed the age of the link proves nothing. The stop prefers links that are older.

Cost: if the links to a replica that lags broke together with the primary, failover waits until they are 7 s old; so it does on a proxy that has had no answer of a primary yet.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -51,14 +51,24 @@
 // From the loss of a primary to the answers of the next one: suspicion, token, stop, order and up
 // to 1 s of promotion, with one failed attempt.
 constexpr Millis kLongestTakeover{2500};
+// How long a takeover waits for a link that was opened early enough.
+constexpr Millis kOldLinkWait{40};
 // A lag estimate is used for this long without a new answer.
 constexpr Millis kLagEstimateLifetime{700};
 
 asio::awaitable<Outcome<LinkPool::Lease>> AcquireControl(std::shared_ptr<LinkPool> pool,
-                                                         std::optional<TimePoint> opened_before,
+                                                         ControlRequest request,
                                                          TimePoint deadline) {
-  if (opened_before) {
-    co_return co_await pool->AcquireOpenedBefore(*opened_before, deadline);
+  if (request.opened_before) {
+    co_return co_await pool->AcquireOpenedBefore(*request.opened_before, deadline);
+  }
+  if (request.prefer_opened_before && pool->open_links() > 0) {
+    const auto until =
+        pool->leased() > 0 ? std::min(deadline, Clock::now() + kOldLinkWait) : TimePoint();
+    auto lease = co_await pool->AcquireOpenedBefore(*request.prefer_opened_before, until);
+    if (lease) {
+      co_return lease;
+    }
   }
   co_return co_await pool->Acquire({}, LinkUse::kControl, deadline);
 }
@@ -356,10 +366,10 @@
   }
 }
 
-asio::awaitable<Outcome<EndpointStatus>> GroupClient::SendControlRequest(EndpointPtr endpoint,
-                                                                         ControlRequest request,
-                                                                         TimePoint deadline) {
-  auto lease = co_await AcquireControl(endpoint->pool, request.opened_before, deadline);
+asio::awaitable<Outcome<ControlAnswer>> GroupClient::SendControlRequest(EndpointPtr endpoint,
+                                                                        ControlRequest request,
+                                                                        TimePoint deadline) {
+  auto lease = co_await AcquireControl(endpoint->pool, request, deadline);
   if (!lease) {
     if (lease.error().code == ResultCode::kOverloaded) {
       m_connection_limit_seen_at = Clock::now();
@@ -381,7 +391,7 @@
     const auto detail = reply.reply.error ? std::string(ToString(reply.reply.error->code)) : "";
     co_return Error{ResultCode::kBadAnswer, "no status: " + detail, Ran::kNo};
   }
-  co_return *reply.status;
+  co_return ControlAnswer{*reply.status, (*lease)->opened_at};
 }
 
 asio::awaitable<std::optional<Position>> GroupClient::ProbeIfPrimary(EndpointPtr endpoint,
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -62,6 +62,15 @@
   // The request is sent only on a link that was opened before this time, so that it does not reach
   // a server that has restarted since.
   std::optional<TimePoint> opened_before;
+  // A link that was opened before this time is used if one is free or becomes so soon.
+  std::optional<TimePoint> prefer_opened_before;
+};
+
+// A server's answer to a ControlRequest. A value type.
+struct ControlAnswer {
+  EndpointStatus status;
+  // When the link was opened: the answering process was started before.
+  TimePoint link_opened_at;
 };
 
 // Not thread safe: all use is on the thread of `context`, which must outlive the object.
@@ -180,9 +189,9 @@
 
   // Sends one request on a control link. Errors: as LinkOpener, kDeadlineExpired, and kBadAnswer
   // for an answer without a status.
-  asio::awaitable<Outcome<EndpointStatus>> SendControlRequest(EndpointPtr endpoint,
-                                                              ControlRequest request,
-                                                              TimePoint deadline);
+  asio::awaitable<Outcome<ControlAnswer>> SendControlRequest(EndpointPtr endpoint,
+                                                             ControlRequest request,
+                                                             TimePoint deadline);
 
  private:
   // The primary once `usable` holds, or nullptr at `deadline` or at PrimaryWaitDeadline().
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -17,6 +17,10 @@
 // Longest time from an accepted order to the answers of the new primary.
 constexpr Millis kPromotionTimeout{3000};
 constexpr Millis kPromotionPollInterval{50};
+// A server that restarted is in the list after this time: two heartbeats, the delay of the list,
+// and the time for which missing entries are retained.
+constexpr Millis kRestartIsListed{7000};
+
 // A server that obeyed the stop shows it in its status: a replica is paused at `stop_at` or a
 // greater term, and a primary that stepped down is no primary. With any other status the stop came
 // too late.
@@ -33,15 +37,33 @@
   return reported != before.end() && stopped.received < reported->second.received;
 }
 
+BootTime ToBootTime(TimePoint time) {
+  // If this process was suspended since, the result is later than the true time.
+  return BootClock::now() - (Clock::now() - time);
+}
+
 // Collects the results of stopping the servers of a group.
 class StopResults {
  public:
-  StopResults(const ServerStatuses& before, Term stop_at) : m_before(before), m_stop_at(stop_at) {}
+  StopResults(const GroupClient& group,
+              const ServerStatuses& before,
+              Term stop_at,
+              TimePoint restarts_listed_until)
+      : m_group(group),
+        m_before(before),
+        m_stop_at(stop_at),
+        m_restarts_listed_until(restarts_listed_until) {}
 
   void AddListed(const GroupClient::EndpointPtr& endpoint,
                  const ServerAnswers& answers,
                  bool was_primary) {
-    m_servers.push_back(MakeResult(*endpoint, answers, was_primary));
+    auto server = MakeResult(*endpoint, answers, was_primary);
+    m_servers.push_back(server);
+    const auto opened_at = answers.links_opened_at.find(server.endpoint);
+    if (server.stopped && opened_at->second >= m_restarts_listed_until && MayLackEntries(server)) {
+      AddEarlierProcess(server, opened_at->second,
+                        was_primary || m_group.IsLatestPrimary(endpoint));
+    }
   }
 
   void AddDeparted(const DepartedServer& departed, const ServerAnswers& paused) {
@@ -51,6 +73,11 @@
     server.leaving = true;
     if (server.stopped) {
       m_servers.push_back(server);
+      // The list does not show whether the server has restarted.
+      if (MayLackEntries(server)) {
+        AddEarlierProcess(server, answers.links_opened_at.at(server.endpoint),
+                          departed.was_primary);
+      }
       return;
     }
     const auto failure = paused.failures.find(server.endpoint);
@@ -90,8 +117,28 @@
     return server;
   }
 
+  // A server that restarted without its log holds the latest position that the primary reported
+  // only if the primary sent it the log again.
+  bool MayLackEntries(const StopResult& answered) const {
+    const auto latest = m_group.watermarks().LatestPosition();
+    return !latest || answered.received < *latest;
+  }
+
+  // The process before the one that answered had ended when the link was opened, so a position that
+  // the primary was asked for later covers what it acknowledged.
+  void AddEarlierProcess(const StopResult& answered, TimePoint link_opened_at, bool was_primary) {
+    StopResult earlier;
+    earlier.endpoint = answered.endpoint;
+    earlier.was_primary = was_primary;
+    earlier.leaving = true;
+    earlier.covered_by = m_group.watermarks().PositionCovering(ToBootTime(link_opened_at));
+    m_servers.push_back(earlier);
+  }
+
+  const GroupClient& m_group;
   const ServerStatuses& m_before;
   const Term m_stop_at;
+  const TimePoint m_restarts_listed_until;
   std::vector<StopResult> m_servers;
 };
 
@@ -113,11 +160,12 @@
   const auto deadline = Clock::now() + timeout;
   for (const auto& endpoint : targets) {
     Spawn(context.io, [group, endpoint, request, deadline, gathered]() -> asio::awaitable<void> {
-      const auto status = co_await group->SendControlRequest(endpoint, request, deadline);
-      if (status) {
-        gathered->answers.statuses[endpoint->entry.id] = *status;
+      const auto answer = co_await group->SendControlRequest(endpoint, request, deadline);
+      if (answer) {
+        gathered->answers.statuses[endpoint->entry.id] = answer->status;
+        gathered->answers.links_opened_at[endpoint->entry.id] = answer->link_opened_at;
       } else {
-        gathered->answers.failures.insert_or_assign(endpoint->entry.id, status.error());
+        gathered->answers.failures.insert_or_assign(endpoint->entry.id, answer.error());
       }
       --gathered->left;
       gathered->changed.NotifyAll();
@@ -151,11 +199,13 @@
   auto reached = primaries;
   std::erase_if(reached,
                 [&](const auto& endpoint) { return !statuses.contains(endpoint->entry.id); });
+  const auto restarts_listed_until = stop.opened_before.value_or(Clock::now() - kRestartIsListed);
+  stop.prefer_opened_before = restarts_listed_until;
   stop.operation = EndpointOperation::kStepDown;
   const auto stepped = co_await SendToServers(context, group, reached, stop);
   stop.operation = EndpointOperation::kPause;
   const auto paused = co_await SendToServers(context, group, asked, stop);
-  StopResults results(statuses, stop.term);
+  StopResults results(*group, statuses, stop.term, restarts_listed_until);
   for (const auto& endpoint : primaries) {
     results.AddListed(endpoint, stepped, true);
   }
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -18,6 +18,8 @@
 // The answers to one request to several servers. A value type.
 struct ServerAnswers {
   ServerStatuses statuses;
+  // When the links were opened on which the statuses arrived.
+  std::map<EndpointId, TimePoint> links_opened_at;
   std::map<EndpointId, Error> failures;
 };
 
@@ -30,7 +32,8 @@
 
 // Pauses the replicas of a group at `stop.term`, makes the primaries step down, and returns how far
 // their logs reach. Departed servers that have not restarted are paused as well; the result has an
-// entry for every departed server. `stop.operation` is ignored. `statuses`: what the
+// entry for every departed server. If a server may have restarted before it answered, the result
+// has a further entry for its earlier process. `stop.operation` is ignored. `statuses`: what the
 // servers reported just before; a primary that is missing there is not asked. Not thread safe.
 asio::awaitable<std::vector<StopResult>> StopServers(GatewayContext& context,
                                                      std::shared_ptr<GroupClient> group,
--- a/src/group/watermark_history.cc
+++ b/src/group/watermark_history.cc
@@ -42,6 +42,13 @@
   return m_samples.back().request_sent_at;
 }
 
+std::optional<Position> WatermarkHistory::LatestPosition() const {
+  if (m_samples.empty()) {
+    return std::nullopt;
+  }
+  return m_samples.back().position;
+}
+
 std::optional<BootTime> WatermarkHistory::FirstCoveredAt(Position position) const {
   const auto it =
       std::find_if(m_samples.begin(), m_samples.end(),
--- a/src/group/watermark_history.h
+++ b/src/group/watermark_history.h
@@ -27,6 +27,9 @@
   // When the newest sample was requested; nothing if there is none.
   std::optional<BootTime> LatestSampleTime() const;
 
+  // The position of the newest sample; nothing if there is none.
+  std::optional<Position> LatestPosition() const;
+
   // When the first sample that covers `position` was requested; nothing if none covers it.
   std::optional<BootTime> FirstCoveredAt(Position position) const;
 
