Takeover: the row shows servers that this proxy never saw listed

Callers could lose a commit: a proxy that started while a living replica was missing from the list did not know that there was one, and promoted a replica that lagged.

The group's row names all servers at the time of the last reservation. One that this proxy has never seen listed counts as departed since it first read the list. A proxy that has not known a primary yet takes it for the lost primary, so that it may be ignored if it is the only lost server.

Left open: a server that no reservation names.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -146,6 +146,7 @@
   }
   if (!m_first_listed && !entries.empty()) {
     m_first_listed = Clock::now();
+    m_first_listed_at = BootClock::now();
   }
   DropMissing(listed);
   for (const auto& [id, entry] : listed) {
@@ -155,6 +156,7 @@
       endpoint = Find(id);
     }
     endpoint->entry = *entry;
+    m_known_processes.emplace(id, entry->started_ms);
     if (!entry->leaving) {
       endpoint->leaving_since.reset();
     } else if (!endpoint->leaving_since) {
@@ -217,6 +219,31 @@
   return true;
 }
 
+void GroupClient::ExpectServers(const std::vector<ServerIncarnation>& servers) {
+  for (const auto& server : servers) {
+    if (!m_first_listed || !m_known_processes.emplace(server.endpoint, server.started_ms).second) {
+      continue;
+    }
+    EndpointEntry entry;
+    entry.id = server.endpoint;
+    entry.group = m_id;
+    entry.started_ms = server.started_ms;
+    DepartedServer departed;
+    departed.endpoint = std::make_shared<Endpoint>(entry, nullptr, nullptr, Duration::zero());
+    departed.since = *m_first_listed;
+    departed.departed_at = m_first_listed_at;
+    departed.restarted = m_endpoints.contains(server.endpoint);
+    // The one server that may be lost, if it is the only one.
+    departed.was_primary = !m_latest_primary;
+    departed.never_listed = true;
+    departed.position_after_exit =
+        m_watermarks.PositionCovering(departed.departed_at + kGoneAfterProcessExit);
+    departed.position_after_no_answer =
+        m_watermarks.PositionCovering(departed.departed_at + kGoneAfterNoAnswer);
+    m_departed.push_back(std::move(departed));
+  }
+}
+
 bool GroupClient::IsLatestPrimary(const EndpointPtr& endpoint) const {
   return m_latest_primary ? m_latest_primary == endpoint : endpoint->entry.claims_primary;
 }
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "async/notifier.h"
@@ -47,6 +49,8 @@
   bool was_primary = false;
   // The server had announced that it leaves.
   bool announced = false;
+  // This proxy has never seen the server listed, and knows no address to ask.
+  bool never_listed = false;
   // Least position that a primary reported when it was asked kGoneAfterProcessExit or
   // kGoneAfterNoAnswer after the departure. If the server is gone, it acknowledged no later commit.
   std::optional<Position> position_after_exit;
@@ -160,6 +164,9 @@
   // The departed servers as of the last Update, except those that departed more than 30 s ago and
   // are covered by DepartedPosition().
   std::vector<DepartedServer> Departed() const;
+  // Records which servers the group had when a token was reserved. One that this proxy has never
+  // seen listed counts as departed since the list was first read.
+  void ExpectServers(const std::vector<ServerIncarnation>& servers);
   // Servers that departed earlier than those in Departed() acknowledged no commit after this
   // position; nothing if there are none.
   const std::optional<Position>& DepartedPosition() const { return m_departed_position; }
@@ -222,7 +229,10 @@
   std::map<EndpointId, EndpointPtr> m_endpoints;
   std::vector<DepartedServer> m_departed;
   std::optional<Position> m_departed_position;
+  // Every process that was listed or expected, which is in `m_endpoints` or has departed.
+  std::set<std::pair<EndpointId, std::int64_t>> m_known_processes;
   std::optional<TimePoint> m_first_listed;
+  BootTime m_first_listed_at;
   TimePoint m_list_settles_at;
   TimePoint m_connection_limit_seen_at;
   std::optional<EndpointId> m_primary;
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -191,7 +191,7 @@
   const auto departed = group->Departed();
   auto asked = replicas;
   for (const auto& server : departed) {
-    if (!server.restarted) {
+    if (!server.restarted && !server.never_listed) {
       asked.push_back(server.endpoint);
     }
   }
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -228,6 +228,9 @@
   if (!refreshed) {
     co_return TakeoverResult::kBackedOff;
   }
+  if (claim->row.reserved) {
+    group->ExpectServers(claim->row.reserved->servers);
+  }
   std::vector<GroupClient::EndpointPtr> all;
   for (const auto& [id, endpoint] : group->endpoints()) {
     all.push_back(endpoint);
--- a/tests/unit/departed_server_test.cc
+++ b/tests/unit/departed_server_test.cc
@@ -32,6 +32,30 @@
     Wait(time);
   }
 
+  // The row of the group names all servers, as it does once a token was reserved.
+  void Reserve() {
+    FenceRow row;
+    row.token = 8;
+    row.reserved = TokenReservation{8, "vm-2", Term(1), {}};
+    for (const auto& entry : m_fake_group.Entries()) {
+      row.reserved->servers.push_back({entry.id, entry.started_ms});
+    }
+    m_table.Put("fences", "orders", EncodeJson(row));
+  }
+
+  // Replaces the proxy by one that has only ever seen `entries` listed.
+  void StartProxy(std::vector<EndpointEntry> entries) {
+    m_listed = std::move(entries);
+    m_gateway.group = std::make_shared<GroupClient>(m_gateway.context, GroupId("orders"));
+    m_gateway.group->SetShare({.links = 2});
+    List(*m_listed);
+  }
+
+  void StartProxyThatDoesNotKnowTheFirstReplica() {
+    Reserve();
+    StartProxy(EntriesWithout("e1"));
+  }
+
   void AnnounceThatFirstReplicaLeaves() {
     auto entries = m_fake_group.Entries();
     entries[1].leaving = true;
@@ -155,5 +179,49 @@
   EXPECT_TRUE(WasNothingLost());
 }
 
+// Guards against a lost commit: the list lacked a server that lived, such as after an outage of the
+// store, and this proxy, which started later, had never seen it. The row of the group names it.
+TEST_F(DepartedServerTest, ServerThatWasNeverListedIsNotIgnoredWhileTheOthersLag) {
+  CommitOnFirstReplicaOnly();
+  StartProxyThatDoesNotKnowTheFirstReplica();
+  Sample(0);
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a group that stays without a primary: the row of the group names a server that has
+// been gone since before this proxy started.
+TEST_F(DepartedServerTest, ServerThatWasNeverListedIsIgnoredOnceAReplicaHoldsItsCommits) {
+  CommitOnFirstReplicaOnly();
+  m_fake_group.Exit(m_fake_group.server(1));
+  CatchUp();
+  StartProxyThatDoesNotKnowTheFirstReplica();
+  Wait(Millis(4500));
+  Wait(Millis(3600));
+  Sample(0);
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a group that stays without a primary: it was lost and dropped from the list before
+// this proxy started.
+TEST_F(DepartedServerTest, LostPrimaryThatWasNeverListedIsReplaced) {
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_fake_group.Exit(m_fake_group.server(0));
+  Reserve();
+  StartProxy(EntriesWithout("e0"));
+  const auto started_at = Clock::now();
+  bool has_primary = false;
+  // The replicas count once the list would show that they restarted.
+  while (!has_primary && Clock::now() - started_at < Millis(9000)) {
+    Wait(Millis(200));
+    has_primary = EndsWithPrimary(TakeoverReason::kFailed);
+  }
+  EXPECT_TRUE(has_primary);
+  EXPECT_TRUE(WasNothingLost());
+}
+
 }  // namespace
 }  // namespace cardamom::testing
