--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -168,10 +168,14 @@
   const ServerStatuses none;
   const auto servers = co_await StopServers(m_context, group, none, stop);
   const bool works = co_await AnyPrimaryWorks(group, servers);
-  const auto successor = works ? std::nullopt : ChooseSuccessor(servers);
+  const bool unchanged = works || co_await AreStillStopped(m_context, group, servers, stop);
+  const auto successor = works || !unchanged ? std::nullopt : ChooseSuccessor(servers);
   const auto logs = DescribeStopped(servers);
   if (!successor) {
-    BackOff(*group, (works ? "the primary works:" : "no safe successor:") + logs);
+    BackOff(*group, (works        ? "the primary works:"
+                     : !unchanged ? "a server did not stay stopped:"
+                                  : "no safe successor:") +
+                        logs);
     co_return std::nullopt;
   }
   m_context.events.Emit(EventCode::kReservedTermUsed,
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -1,5 +1,6 @@
 #include "gateway/server_poll.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -221,6 +222,29 @@
   co_return results.Take();
 }
 
+asio::awaitable<bool> AreStillStopped(GatewayContext& context,
+                                      std::shared_ptr<GroupClient> group,
+                                      std::vector<StopResult> servers,
+                                      ControlRequest stop) {
+  // A stopped primary keeps its log if it restarts, and shows then that it is one again.
+  std::erase_if(servers, [&](const StopResult& server) {
+    return !server.stopped || !group->Find(server.endpoint);
+  });
+  std::vector<GroupClient::EndpointPtr> targets;
+  targets.reserve(servers.size());
+  for (const auto& server : servers) {
+    targets.push_back(group->Find(server.endpoint));
+  }
+  stop.operation = EndpointOperation::kPause;
+  const auto answers = co_await SendToServers(context, group, targets, stop);
+  co_return std::all_of(servers.begin(), servers.end(), [&](const StopResult& server) {
+    const auto answer = answers.statuses.find(server.endpoint);
+    return answer != answers.statuses.end() &&
+           IsStopped(answer->second, server.was_primary, stop.term) &&
+           answer->second.received == server.received;
+  });
+}
+
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
                                       std::vector<StopResult> servers) {
   for (const auto& server : servers) {
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -40,6 +40,15 @@
                                                      ServerStatuses statuses,
                                                      ControlRequest stop);
 
+// Repeats `stop` to the servers that StopServers stopped, and returns whether each is stopped with
+// the log that it had then. A replica that restarts is not paused any more, and may receive and
+// acknowledge commits of a primary that was not reached. Takes one round trip, at most 400 ms. Not
+// thread safe.
+asio::awaitable<bool> AreStillStopped(GatewayContext& context,
+                                      std::shared_ptr<GroupClient> group,
+                                      std::vector<StopResult> servers,
+                                      ControlRequest stop);
+
 // Whether a primary that did not step down still works, or is alive but too busy to answer. Not
 // thread safe.
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -286,10 +286,15 @@
   const auto logs = DescribeStopped(servers);
   // A working primary keeps acknowledging commits unless it obeyed the stop.
   const bool works = co_await AnyPrimaryWorks(group, servers);
-  const auto successor = works ? std::nullopt : ChooseSuccessor(servers);
+  const bool unchanged = works || co_await AreStillStopped(m_context, group, servers, stop);
+  const auto successor = works || !unchanged ? std::nullopt : ChooseSuccessor(servers);
   if (!successor) {
     Log(EventCode::kPromotionFailed, *group,
-        (works ? "the primary works:" : "no safe successor:") + logs, stop_at);
+        (works        ? "the primary works:"
+         : !unchanged ? "a server did not stay stopped:"
+                      : "no safe successor:") +
+            logs,
+        stop_at);
     co_await Resume(group, claim, std::nullopt);
     co_return claim.order_may_be_pending ? TakeoverResult::kUnfinished : TakeoverResult::kBackedOff;
   }
--- a/tests/unit/restarted_server_test.cc
+++ b/tests/unit/restarted_server_test.cc
@@ -94,5 +94,20 @@
   EXPECT_TRUE(WasNothingLost());
 }
 
+// Guards against a lost commit: a paused replica restarted after its log had been compared. It
+// received again, and acknowledged a commit of the primary, which this proxy did not reach.
+TEST_F(RestartedServerTest, PausedReplicaThatReceivesAgainBeforeTheOrderEndsTheAttempt) {
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  Sample(0);
+  m_fake_group.server(0).cut_off = true;
+  m_fake_group.server(2).restarts_after_pause = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+  EXPECT_EQ(m_fake_group.acknowledged.size(), 2U);
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_fake_group.server(2).is_primary);
+  EXPECT_TRUE(WasNothingLost());
+}
+
 }  // namespace
 }  // namespace cardamom::testing
