--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -51,18 +51,38 @@
 // From the loss of a primary to the answers of the next one: suspicion, token, stop, order and up
 // to 1 s of promotion, with one failed attempt.
 constexpr Millis kLongestTakeover{2500};
+// How long a takeover waits for a link that was opened early enough.
+constexpr Millis kOldLinkWait{40};
 // A lag estimate is used for this long without a new answer.
 constexpr Millis kLagEstimateLifetime{700};
 
 asio::awaitable<Outcome<LinkPool::Lease>> AcquireControl(std::shared_ptr<LinkPool> pool,
-                                                         std::optional<TimePoint> opened_before,
+                                                         ControlRequest request,
                                                          TimePoint deadline) {
-  if (opened_before) {
-    co_return co_await pool->AcquireOpenedBefore(*opened_before, deadline);
+  if (request.opened_before) {
+    co_return co_await pool->AcquireOpenedBefore(*request.opened_before, deadline);
+  }
+  if (request.prefer_opened_before && pool->open_links() > 0) {
+    const auto until =
+        pool->leased() > 0 ? std::min(deadline, Clock::now() + kOldLinkWait) : TimePoint();
+    auto lease = co_await pool->AcquireOpenedBefore(*request.prefer_opened_before, until);
+    if (lease) {
+      co_return lease;
+    }
   }
   co_return co_await pool->Acquire({}, LinkUse::kControl, deadline);
 }
 
+void RecordPosition(DepartedServer& server, BootTime asked_at, Position position) {
+  const auto record = [&](std::optional<Position>& least, Millis gone_for) {
+    if (asked_at >= server.departed_at + gone_for) {
+      least = std::min(least.value_or(position), position);
+    }
+  };
+  record(server.position_after_exit, kGoneAfterProcessExit);
+  record(server.position_after_no_answer, kGoneAfterNoAnswer);
+}
+
 EndpointRequest OwnRequest(EndpointOperation operation, Term term = {}) {
   EndpointRequest request;
   request.operation = operation;
@@ -126,6 +146,7 @@
   }
   if (!m_first_listed && !entries.empty()) {
     m_first_listed = Clock::now();
+    m_first_listed_at = BootClock::now();
   }
   DropMissing(listed);
   for (const auto& [id, entry] : listed) {
@@ -135,6 +156,7 @@
       endpoint = Find(id);
     }
     endpoint->entry = *entry;
+    m_known_processes.emplace(id, entry->started_ms);
     if (!entry->leaving) {
       endpoint->leaving_since.reset();
     } else if (!endpoint->leaving_since) {
@@ -149,10 +171,8 @@
 
 void GroupClient::DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed) {
   const auto now = Clock::now();
-  std::erase_if(m_departed, [&](const DepartedServer& server) {
-    return now - server.since > kDepartedRetention ||
-           (!server.restarted && listed.contains(server.endpoint->entry.id));
-  });
+  std::erase_if(m_departed,
+                [&](DepartedServer& server) { return ForgetDeparted(server, listed, now); });
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     const auto found = listed.find(it->first);
     const bool same = found != listed.end() &&
@@ -162,9 +182,14 @@
       ++it;
       continue;
     }
-    if (!it->second->entry.leaving) {
-      m_departed.push_back({it->second, now, found != listed.end(), m_primary == it->first});
-    }
+    DepartedServer departed;
+    departed.endpoint = it->second;
+    departed.since = now;
+    departed.departed_at = BootClock::now();
+    departed.restarted = found != listed.end();
+    departed.was_primary = IsLatestPrimary(it->second);
+    departed.announced = it->second->entry.leaving;
+    m_departed.push_back(std::move(departed));
     it->second->pool->Retire();
     m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
     if (m_primary == it->first) {
@@ -174,13 +199,64 @@
   }
 }
 
+bool GroupClient::ForgetDeparted(DepartedServer& server,
+                                 const std::map<EndpointId, const EndpointEntry*>& listed,
+                                 TimePoint now) {
+  const auto& entry = server.endpoint->entry;
+  const auto found = listed.find(entry.id);
+  if (!server.restarted && found != listed.end()) {
+    if (found->second->started_ms == entry.started_ms) {
+      return true;
+    }
+    server.restarted = true;
+  }
+  const auto& position =
+      server.restarted ? server.position_after_exit : server.position_after_no_answer;
+  if (now - server.since <= kDepartedRetention || !position) {
+    return false;
+  }
+  m_departed_position = std::max(m_departed_position.value_or(*position), *position);
+  return true;
+}
+
+void GroupClient::ExpectServers(const std::vector<ServerIncarnation>& servers) {
+  for (const auto& server : servers) {
+    if (!m_first_listed || !m_known_processes.emplace(server.endpoint, server.started_ms).second) {
+      continue;
+    }
+    EndpointEntry entry;
+    entry.id = server.endpoint;
+    entry.group = m_id;
+    entry.started_ms = server.started_ms;
+    DepartedServer departed;
+    departed.endpoint = std::make_shared<Endpoint>(entry, nullptr, nullptr, Duration::zero());
+    departed.since = *m_first_listed;
+    departed.departed_at = m_first_listed_at;
+    departed.restarted = m_endpoints.contains(server.endpoint);
+    // The one server that may be lost, if it is the only one.
+    departed.was_primary = !m_latest_primary;
+    departed.never_listed = true;
+    departed.position_after_exit =
+        m_watermarks.PositionCovering(departed.departed_at + kGoneAfterProcessExit);
+    departed.position_after_no_answer =
+        m_watermarks.PositionCovering(departed.departed_at + kGoneAfterNoAnswer);
+    m_departed.push_back(std::move(departed));
+  }
+}
+
+bool GroupClient::IsLatestPrimary(const EndpointPtr& endpoint) const {
+  return m_latest_primary ? m_latest_primary == endpoint : endpoint->entry.claims_primary;
+}
+
 std::vector<DepartedServer> GroupClient::Departed() const {
   return m_departed;
 }
 
 ServerListSnapshot GroupClient::SnapshotServerList() const {
   ServerListSnapshot snapshot;
-  snapshot.changing = !m_departed.empty() || !IsListSettled();
+  snapshot.changing = !IsListSettled() ||
+                      std::any_of(m_departed.begin(), m_departed.end(),
+                                  [](const DepartedServer& server) { return !server.announced; });
   for (const auto& [id, endpoint] : m_endpoints) {
     snapshot.servers.push_back({id, endpoint->entry.started_ms});
     snapshot.changing = snapshot.changing || endpoint->entry.leaving;
@@ -317,10 +393,10 @@
   }
 }
 
-asio::awaitable<Outcome<EndpointStatus>> GroupClient::SendControlRequest(EndpointPtr endpoint,
-                                                                         ControlRequest request,
-                                                                         TimePoint deadline) {
-  auto lease = co_await AcquireControl(endpoint->pool, request.opened_before, deadline);
+asio::awaitable<Outcome<ControlAnswer>> GroupClient::SendControlRequest(EndpointPtr endpoint,
+                                                                        ControlRequest request,
+                                                                        TimePoint deadline) {
+  auto lease = co_await AcquireControl(endpoint->pool, request, deadline);
   if (!lease) {
     if (lease.error().code == ResultCode::kOverloaded) {
       m_connection_limit_seen_at = Clock::now();
@@ -342,7 +418,7 @@
     const auto detail = reply.reply.error ? std::string(ToString(reply.reply.error->code)) : "";
     co_return Error{ResultCode::kBadAnswer, "no status: " + detail, Ran::kNo};
   }
-  co_return *reply.status;
+  co_return ControlAnswer{*reply.status, (*lease)->opened_at};
 }
 
 asio::awaitable<std::optional<Position>> GroupClient::ProbeIfPrimary(EndpointPtr endpoint,
@@ -455,6 +531,7 @@
 }
 
 void GroupClient::SetPrimary(const EndpointPtr& endpoint, Term term, const char* source) {
+  m_latest_primary = endpoint;
   if (m_primary == endpoint->entry.id && m_term == term) {
     return;
   }
@@ -478,6 +555,9 @@
   SetPrimary(endpoint, position.term, "answer");
   CheckForMissingCommit(*endpoint, asked_at, position);
   m_watermarks.Add(asked_at, position);
+  for (auto& server : m_departed) {
+    RecordPosition(server, asked_at, position);
+  }
   m_last_primary_answer_at = Clock::now();
   m_lost_since.reset();
   endpoint->consecutive_failures = 0;
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "async/notifier.h"
@@ -29,15 +31,30 @@
   std::optional<TimePoint> stalled_since;
 };
 
-// A server that disappeared from the list without announcing that it leaves. It may only be cut off
-// from the store, and still acknowledge commits.
+// A departed server whose process has been gone for this long acknowledges nothing any more.
+constexpr Millis kGoneAfterProcessExit{4000};
+// As above, for a server whose process is not known to be gone: neither the store nor this proxy
+// receives anything from it.
+constexpr Millis kGoneAfterNoAnswer{8000};
+
+// A server that disappeared from the list. It may only be cut off from the store, and still
+// acknowledge commits; or it may have been the only replica that had received a commit.
 struct DepartedServer {
   std::shared_ptr<Endpoint> endpoint;
   TimePoint since;
+  BootTime departed_at;
   // The server has restarted under the same id, without its log.
   bool restarted = false;
-  // The server was the primary. A commit that it alone held was never acknowledged.
+  // The server was the latest primary.
   bool was_primary = false;
+  // The server had announced that it leaves.
+  bool announced = false;
+  // This proxy has never seen the server listed, and knows no address to ask.
+  bool never_listed = false;
+  // Least position that a primary reported when it was asked kGoneAfterProcessExit or
+  // kGoneAfterNoAnswer after the departure. If the server is gone, it acknowledged no later commit.
+  std::optional<Position> position_after_exit;
+  std::optional<Position> position_after_no_answer;
 };
 
 // A request of a takeover to a server. A value type.
@@ -49,6 +66,15 @@
   // The request is sent only on a link that was opened before this time, so that it does not reach
   // a server that has restarted since.
   std::optional<TimePoint> opened_before;
+  // A link that was opened before this time is used if one is free or becomes so soon.
+  std::optional<TimePoint> prefer_opened_before;
+};
+
+// A server's answer to a ControlRequest. A value type.
+struct ControlAnswer {
+  EndpointStatus status;
+  // When the link was opened: the answering process was started before.
+  TimePoint link_opened_at;
 };
 
 // Not thread safe: all use is on the thread of `context`, which must outlive the object.
@@ -137,8 +163,18 @@
   const std::map<EndpointId, EndpointPtr>& endpoints() const { return m_endpoints; }
   // The listed server with this id, or nullptr if there is none.
   EndpointPtr Find(const EndpointId& id) const;
-  // Servers that departed without notice within the last 30 s, as of the last Update.
+  // The departed servers as of the last Update, except those that departed more than 30 s ago and
+  // are covered by DepartedPosition().
   std::vector<DepartedServer> Departed() const;
+  // Records which servers the group had when a token was reserved. One that this proxy has never
+  // seen listed counts as departed since the list was first read.
+  void ExpectServers(const std::vector<ServerIncarnation>& servers);
+  // Servers that departed earlier than those in Departed() acknowledged no commit after this
+  // position; nothing if there are none.
+  const std::optional<Position>& DepartedPosition() const { return m_departed_position; }
+  // Whether `endpoint` is the process that last answered as the primary or, if none has yet, that
+  // the list shows as the primary.
+  bool IsLatestPrimary(const EndpointPtr& endpoint) const;
   // The servers as the list shows them.
   ServerListSnapshot SnapshotServerList() const;
   // Servers may be missing from the list for `span`, in which IsListSettled() does not hold.
@@ -165,9 +201,9 @@
 
   // Sends one request on a control link. Errors: as LinkOpener, kDeadlineExpired, and kBadAnswer
   // for an answer without a status.
-  asio::awaitable<Outcome<EndpointStatus>> SendControlRequest(EndpointPtr endpoint,
-                                                              ControlRequest request,
-                                                              TimePoint deadline);
+  asio::awaitable<Outcome<ControlAnswer>> SendControlRequest(EndpointPtr endpoint,
+                                                             ControlRequest request,
+                                                             TimePoint deadline);
 
  private:
   // The primary once `usable` holds, or nullptr at `deadline` or at PrimaryWaitDeadline().
@@ -175,6 +211,10 @@
   void AddEndpoint(const EndpointEntry& entry);
   // Drops the servers that `listed` lacks, or shows with another address or start time.
   void DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed);
+  // Updates or removes a departed server after the list was read. Returns whether it is removed.
+  bool ForgetDeparted(DepartedServer& server,
+                      const std::map<EndpointId, const EndpointEntry*>& listed,
+                      TimePoint now);
   void RecordPrimaryLost();
   void SetPrimary(const EndpointPtr& endpoint, Term term, const char* source);
   // Reports a primary whose answer to a request sent at `asked_at` shows that it lacks a commit
@@ -196,10 +236,16 @@
   Share m_share;
   std::map<EndpointId, EndpointPtr> m_endpoints;
   std::vector<DepartedServer> m_departed;
+  std::optional<Position> m_departed_position;
+  // Every process that was listed or expected, which is in `m_endpoints` or has departed.
+  std::set<std::pair<EndpointId, std::int64_t>> m_known_processes;
   std::optional<TimePoint> m_first_listed;
+  BootTime m_first_listed_at;
   TimePoint m_list_settles_at;
   TimePoint m_connection_limit_seen_at;
   std::optional<EndpointId> m_primary;
+  // The server that last answered as the primary, also after it was lost.
+  EndpointPtr m_latest_primary;
   Term m_term;
   WatermarkHistory m_watermarks;
   Position m_acknowledged;
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -168,20 +168,21 @@
   const Term stop_at(reservation.term.value() + 1);
   const ControlRequest stop{.term = stop_at, .opened_before = opened_before};
   const ServerStatuses none;
-  const auto servers = co_await StopServers(m_context, group, none, stop);
-  const bool works = co_await AnyPrimaryWorks(group, servers);
-  const auto successor = works ? std::nullopt : ChooseSuccessor(servers);
-  const auto logs = DescribeStopped(servers);
-  if (!successor) {
-    BackOff(*group, (works ? "the primary works:" : "no safe successor:") + logs);
+  const auto choice = co_await cardamom::StopAndChooseSuccessor(m_context, group, none, stop);
+  if (!choice.successor) {
+    BackOff(*group, choice.objection + ":" + choice.logs);
+    co_return std::nullopt;
+  }
+  if (group->SnapshotServerList().servers != reservation.servers) {
+    BackOff(*group, "the servers changed after they were stopped");
     co_return std::nullopt;
   }
   m_context.events.Emit(EventCode::kReservedTermUsed,
                         {.group = group->id(),
                          .term = stop_at,
                          .detail = fmt::format("token {} for {}; logs:{}", reservation.token,
-                                               successor->value(), logs)});
-  co_return successor;
+                                               choice.successor->value(), choice.logs)});
+  co_return choice.successor;
 }
 
 asio::awaitable<TakeoverResult> OutageTakeover::Order(std::shared_ptr<GroupClient> group,
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -18,12 +18,9 @@
 // Longest time from an accepted order to the answers of the new primary.
 constexpr Millis kPromotionTimeout{3000};
 constexpr Millis kPromotionPollInterval{50};
-// A departed replica whose process has been gone for this long has acknowledged nothing since; what
-// it had acknowledged before has reached the others.
-constexpr Millis kGoneAfterProcessExit{4000};
-// As above, for a server whose process is not known to be gone: neither the store nor this proxy
-// receives anything from it.
-constexpr Millis kGoneAfterNoAnswer{8000};
+// A server that restarted is in the list after this time: two heartbeats, the delay of the list,
+// and the time for which missing entries are retained.
+constexpr Millis kRestartIsListed{7000};
 
 // A server that obeyed the stop shows it in its status: a replica is paused at `stop_at` or a
 // greater term, and a primary that stepped down is no primary. With any other status the stop came
@@ -32,37 +29,126 @@
   return was_primary ? !status.is_primary : status.paused_at >= stop_at;
 }
 
-StopResult MakeStopResult(const Endpoint& endpoint,
-                          const ServerAnswers& answers,
-                          bool was_primary,
-                          Term stop_at) {
-  StopResult server;
-  server.endpoint = endpoint.entry.id;
-  server.leaving = endpoint.entry.leaving;
-  server.was_primary = was_primary;
-  const auto answer = answers.statuses.find(server.endpoint);
-  if (answer != answers.statuses.end() && IsStopped(answer->second, was_primary, stop_at)) {
-    server.stopped = true;
-    server.received = answer->second.received;
-  }
-  return server;
-}
-
-StopResult MakeDepartedStopResult(const DepartedServer& departed,
-                                  const ServerAnswers& paused,
-                                  Term stop_at) {
-  const ServerAnswers none;
-  auto server =
-      MakeStopResult(*departed.endpoint, departed.restarted ? none : paused, false, stop_at);
-  server.leaving = true;
-  const auto failure = paused.failures.find(server.endpoint);
-  const bool process_gone =
-      departed.restarted || (failure != paused.failures.end() &&
-                             (failure->second.code == ResultCode::kBadAnswer ||
-                              failure->second.code == ResultCode::kConnectionRefused));
-  const auto gone_for = Clock::now() - departed.since;
-  server.safe_to_ignore = gone_for > (process_gone ? kGoneAfterProcessExit : kGoneAfterNoAnswer);
-  return server;
+// Whether the log is shorter than the server reported just before the stop: it restarted or was
+// rolled back in between.
+bool HasLostEntries(const EndpointStatus& stopped,
+                    const EndpointId& id,
+                    const ServerStatuses& before) {
+  const auto reported = before.find(id);
+  return reported != before.end() && stopped.received < reported->second.received;
+}
+
+BootTime ToBootTime(TimePoint time) {
+  // If this process was suspended since, the result is later than the true time.
+  return BootClock::now() - (Clock::now() - time);
+}
+
+// Collects the results of stopping the servers of a group.
+class StopResults {
+ public:
+  StopResults(const GroupClient& group,
+              const ServerStatuses& before,
+              Term stop_at,
+              TimePoint restarts_listed_until)
+      : m_group(group),
+        m_before(before),
+        m_stop_at(stop_at),
+        m_restarts_listed_until(restarts_listed_until) {}
+
+  void AddListed(const GroupClient::EndpointPtr& endpoint,
+                 const ServerAnswers& answers,
+                 bool was_primary) {
+    auto server = MakeResult(*endpoint, answers, was_primary);
+    m_servers.push_back(server);
+    const auto opened_at = answers.links_opened_at.find(server.endpoint);
+    if (server.stopped && opened_at->second >= m_restarts_listed_until && MayLackEntries(server)) {
+      AddEarlierProcess(server, opened_at->second,
+                        was_primary || m_group.IsLatestPrimary(endpoint));
+    }
+  }
+
+  void AddDeparted(const DepartedServer& departed, const ServerAnswers& paused) {
+    const ServerAnswers none;
+    const auto& answers = departed.restarted ? none : paused;
+    auto server = MakeResult(*departed.endpoint, answers, false);
+    server.leaving = true;
+    if (server.stopped) {
+      m_servers.push_back(server);
+      // The list does not show whether the server has restarted.
+      if (MayLackEntries(server)) {
+        AddEarlierProcess(server, answers.links_opened_at.at(server.endpoint),
+                          departed.was_primary);
+      }
+      return;
+    }
+    const auto failure = paused.failures.find(server.endpoint);
+    const bool process_gone =
+        departed.restarted || (failure != paused.failures.end() &&
+                               (failure->second.code == ResultCode::kBadAnswer ||
+                                failure->second.code == ResultCode::kConnectionRefused));
+    server.was_primary = departed.was_primary;
+    server.covered_by =
+        process_gone ? departed.position_after_exit : departed.position_after_no_answer;
+    m_servers.push_back(server);
+  }
+
+  void AddDepartedEarlier(Position covered_by) {
+    StopResult server;
+    server.leaving = true;
+    server.covered_by = covered_by;
+    m_servers.push_back(server);
+  }
+
+  std::vector<StopResult> Take() { return std::move(m_servers); }
+
+ private:
+  StopResult MakeResult(const Endpoint& endpoint,
+                        const ServerAnswers& answers,
+                        bool was_primary) const {
+    StopResult server;
+    server.endpoint = endpoint.entry.id;
+    server.leaving = endpoint.entry.leaving;
+    server.was_primary = was_primary;
+    const auto answer = answers.statuses.find(server.endpoint);
+    if (answer != answers.statuses.end() && IsStopped(answer->second, was_primary, m_stop_at) &&
+        !HasLostEntries(answer->second, server.endpoint, m_before)) {
+      server.stopped = true;
+      server.received = answer->second.received;
+    }
+    return server;
+  }
+
+  // A server that restarted without its log holds the latest position that the primary reported
+  // only if the primary sent it the log again.
+  bool MayLackEntries(const StopResult& answered) const {
+    const auto latest = m_group.watermarks().LatestPosition();
+    return !latest || answered.received < *latest;
+  }
+
+  // The process before the one that answered had ended when the link was opened, so a position that
+  // the primary was asked for later covers what it acknowledged.
+  void AddEarlierProcess(const StopResult& answered, TimePoint link_opened_at, bool was_primary) {
+    StopResult earlier;
+    earlier.endpoint = answered.endpoint;
+    earlier.was_primary = was_primary;
+    earlier.leaving = true;
+    earlier.covered_by = m_group.watermarks().PositionCovering(ToBootTime(link_opened_at));
+    m_servers.push_back(earlier);
+  }
+
+  const GroupClient& m_group;
+  const ServerStatuses& m_before;
+  const Term m_stop_at;
+  const TimePoint m_restarts_listed_until;
+  std::vector<StopResult> m_servers;
+};
+
+bool WereAllAsked(const GroupClient& group, const std::vector<StopResult>& servers) {
+  const auto& listed = group.endpoints();
+  return std::all_of(listed.begin(), listed.end(), [&servers](const auto& item) {
+    return std::any_of(servers.begin(), servers.end(),
+                       [&item](const StopResult& server) { return server.endpoint == item.first; });
+  });
 }
 
 }  // namespace
@@ -83,11 +169,12 @@
   const auto deadline = Clock::now() + timeout;
   for (const auto& endpoint : targets) {
     Spawn(context.io, [group, endpoint, request, deadline, gathered]() -> asio::awaitable<void> {
-      const auto status = co_await group->SendControlRequest(endpoint, request, deadline);
-      if (status) {
-        gathered->answers.statuses[endpoint->entry.id] = *status;
+      const auto answer = co_await group->SendControlRequest(endpoint, request, deadline);
+      if (answer) {
+        gathered->answers.statuses[endpoint->entry.id] = answer->status;
+        gathered->answers.links_opened_at[endpoint->entry.id] = answer->link_opened_at;
       } else {
-        gathered->answers.failures.insert_or_assign(endpoint->entry.id, status.error());
+        gathered->answers.failures.insert_or_assign(endpoint->entry.id, answer.error());
       }
       --gathered->left;
       gathered->changed.NotifyAll();
@@ -113,7 +200,7 @@
   const auto departed = group->Departed();
   auto asked = replicas;
   for (const auto& server : departed) {
-    if (!server.restarted) {
+    if (!server.restarted && !server.never_listed) {
       asked.push_back(server.endpoint);
     }
   }
@@ -121,22 +208,49 @@
   auto reached = primaries;
   std::erase_if(reached,
                 [&](const auto& endpoint) { return !statuses.contains(endpoint->entry.id); });
+  const auto restarts_listed_until = stop.opened_before.value_or(Clock::now() - kRestartIsListed);
+  stop.prefer_opened_before = restarts_listed_until;
   stop.operation = EndpointOperation::kStepDown;
   const auto stepped = co_await SendToServers(context, group, reached, stop);
   stop.operation = EndpointOperation::kPause;
   const auto paused = co_await SendToServers(context, group, asked, stop);
-  std::vector<StopResult> servers;
-  servers.reserve(primaries.size() + replicas.size() + departed.size());
+  StopResults results(*group, statuses, stop.term, restarts_listed_until);
   for (const auto& endpoint : primaries) {
-    servers.push_back(MakeStopResult(*endpoint, stepped, true, stop.term));
+    results.AddListed(endpoint, stepped, true);
   }
   for (const auto& endpoint : replicas) {
-    servers.push_back(MakeStopResult(*endpoint, paused, false, stop.term));
+    results.AddListed(endpoint, paused, false);
   }
   for (const auto& server : departed) {
-    servers.push_back(MakeDepartedStopResult(server, paused, stop.term));
+    results.AddDeparted(server, paused);
+  }
+  if (const auto& position = group->DepartedPosition()) {
+    results.AddDepartedEarlier(*position);
+  }
+  co_return results.Take();
+}
+
+asio::awaitable<bool> AreStillStopped(GatewayContext& context,
+                                      std::shared_ptr<GroupClient> group,
+                                      std::vector<StopResult> servers,
+                                      ControlRequest stop) {
+  // A stopped primary keeps its log if it restarts, and shows then that it is one again.
+  std::erase_if(servers, [&](const StopResult& server) {
+    return !server.stopped || !group->Find(server.endpoint);
+  });
+  std::vector<GroupClient::EndpointPtr> targets;
+  targets.reserve(servers.size());
+  for (const auto& server : servers) {
+    targets.push_back(group->Find(server.endpoint));
   }
-  co_return servers;
+  stop.operation = EndpointOperation::kPause;
+  const auto answers = co_await SendToServers(context, group, targets, stop);
+  co_return std::all_of(servers.begin(), servers.end(), [&](const StopResult& server) {
+    const auto answer = answers.statuses.find(server.endpoint);
+    return answer != answers.statuses.end() &&
+           IsStopped(answer->second, server.was_primary, stop.term) &&
+           answer->second.received == server.received;
+  });
 }
 
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
@@ -155,6 +269,32 @@
   co_return false;
 }
 
+asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(GatewayContext& context,
+                                                        std::shared_ptr<GroupClient> group,
+                                                        ServerStatuses statuses,
+                                                        ControlRequest stop) {
+  const auto servers = co_await StopServers(context, group, statuses, stop);
+  SuccessorChoice choice;
+  choice.stopped_at = Clock::now();
+  choice.logs = DescribeStopped(servers);
+  if (co_await AnyPrimaryWorks(group, servers)) {
+    // It keeps acknowledging commits, since it did not obey the stop.
+    choice.objection = "the primary works";
+    co_return choice;
+  }
+  const auto successor = ChooseSuccessor(servers);
+  if (!successor) {
+    choice.objection = "no safe successor";
+  } else if (!co_await AreStillStopped(context, group, servers, stop)) {
+    choice.objection = "a server did not stay stopped";
+  } else if (!WereAllAsked(*group, servers)) {
+    choice.objection = "a server was listed after the others were stopped";
+  } else {
+    choice.successor = successor;
+  }
+  co_return choice;
+}
+
 std::vector<SurveyedServer> ToSurveyedServers(const ServerStatuses& statuses) {
   std::vector<SurveyedServer> servers;
   servers.reserve(statuses.size());
@@ -170,7 +310,9 @@
     listed.push_back(id);
   }
   for (const auto& departed : group.Departed()) {
-    listed.push_back(departed.endpoint->entry.id);
+    if (!departed.announced) {
+      listed.push_back(departed.endpoint->entry.id);
+    }
   }
   // If others answer in a newer term, the server that was the primary may be a paused replica now.
   const bool newest = std::all_of(statuses.begin(), statuses.end(), [&group](const auto& entry) {
@@ -200,12 +342,13 @@
 std::string DescribeStopped(const std::vector<StopResult>& servers) {
   std::string text;
   for (const auto& server : servers) {
+    const auto shown = server.stopped ? server.received : server.covered_by.value_or(Position());
     text +=
         fmt::format(" {}{}={}.{}{}", server.endpoint.value(), server.was_primary ? "(primary)" : "",
-                    server.received.term.value(), server.received.index.value(),
-                    server.stopped          ? ""
-                    : server.safe_to_ignore ? "(departed)"
-                                            : "(not stopped)");
+                    shown.term.value(), shown.index.value(),
+                    server.stopped      ? ""
+                    : server.covered_by ? "(ended, covered by this position)"
+                                        : "(not stopped)");
   }
   return text;
 }
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -19,6 +19,8 @@
 // The answers to one request to several servers. A value type.
 struct ServerAnswers {
   ServerStatuses statuses;
+  // When the links were opened on which the statuses arrived.
+  std::map<EndpointId, TimePoint> links_opened_at;
   std::map<EndpointId, Error> failures;
 };
 
@@ -31,18 +33,45 @@
 
 // Pauses the replicas of a group at `stop.term`, makes the primaries step down, and returns how far
 // their logs reach. Departed servers that have not restarted are paused as well; the result has an
-// entry for every departed server. `stop.operation` is ignored. `statuses`: what the servers
-// reported just before; a primary that is missing there is not asked. Not thread safe.
+// entry for every departed server. If a server may have restarted before it answered, the result
+// has a further entry for its earlier process. `stop.operation` is ignored. `statuses`: what the
+// servers reported just before; a primary that is missing there is not asked. Not thread safe.
 asio::awaitable<std::vector<StopResult>> StopServers(GatewayContext& context,
                                                      std::shared_ptr<GroupClient> group,
                                                      ServerStatuses statuses,
                                                      ControlRequest stop);
 
+// Repeats `stop` to the servers that StopServers stopped, and returns whether each is stopped with
+// the log that it had then. A replica that restarts is not paused any more, and may receive and
+// acknowledge commits of a primary that was not reached. Takes one round trip, at most 400 ms. Not
+// thread safe.
+asio::awaitable<bool> AreStillStopped(GatewayContext& context,
+                                      std::shared_ptr<GroupClient> group,
+                                      std::vector<StopResult> servers,
+                                      ControlRequest stop);
+
 // Whether a primary that did not step down still works, or is alive but too busy to answer. Not
 // thread safe.
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
                                       std::vector<StopResult> servers);
 
+// The server to promote, or why there is none. A value type.
+struct SuccessorChoice {
+  std::optional<EndpointId> successor;
+  std::string objection;
+  // The compared logs, for a log line, and when the servers had been stopped.
+  std::string logs;
+  TimePoint stopped_at;
+};
+
+// Stops the servers of a group as StopServers does, compares their logs and chooses the server to
+// promote. There is none if a primary works, if a server did not stay stopped, or if one was listed
+// meanwhile, which may hold commits that the others lack. Not thread safe.
+asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(GatewayContext& context,
+                                                        std::shared_ptr<GroupClient> group,
+                                                        ServerStatuses statuses,
+                                                        ControlRequest stop);
+
 // What the servers in `statuses` reported. Pure and thread safe.
 std::vector<SurveyedServer> ToSurveyedServers(const ServerStatuses& statuses);
 
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -284,6 +284,9 @@
   if (!refreshed) {
     co_return TakeoverResult::kBackedOff;
   }
+  if (claim->row.reserved) {
+    group->ExpectServers(claim->row.reserved->servers);
+  }
   const auto result = co_await Replace(group, reason, *claim);
   co_return result;
 }
@@ -368,30 +371,27 @@
     co_return TakeoverResult::kBackedOff;
   }
   const ControlRequest stop{.term = stop_at};
-  const auto servers = co_await StopServers(m_context, group, statuses, stop);
-  const auto read_at = Clock::now();
-  const auto logs = DescribeStopped(servers);
-  // A working primary keeps acknowledging commits unless it obeyed the stop.
-  const bool works = co_await AnyPrimaryWorks(group, servers);
-  const auto successor = works ? std::nullopt : ChooseSuccessor(servers);
-  if (!successor) {
-    co_return co_await GiveUp(group, claim,
-                              (works ? "the primary works:" : "no safe successor:") + logs);
+  const auto choice = co_await StopAndChooseSuccessor(m_context, group, statuses, stop);
+  if (!choice.successor) {
+    co_return co_await GiveUp(group, claim, choice.objection + ":" + choice.logs);
   }
   if (BootClock::now() > claim.valid_until) {
-    Log(EventCode::kPromotionFailed, *group, "the token's validity has ended:" + logs, stop_at);
+    Log(EventCode::kPromotionFailed, *group, "the token's validity has ended:" + choice.logs,
+        stop_at);
     co_await SetOrderOutstanding(*group, claim, false);
     co_return TakeoverResult::kUnfinished;
   }
-  const auto ordered = co_await m_order(group->id().value(), successor->value(), claim.row.holder,
-                                        claim.row.token, Clock::now() + kOrderTimeout);
+  const auto ordered =
+      co_await m_order(group->id().value(), choice.successor->value(), claim.row.holder,
+                       claim.row.token, Clock::now() + kOrderTimeout);
   m_context.metrics.CountOrder(NameOf(ordered));
   claim.announced = claim.announced || ordered.has_value();
   Log(EventCode::kPromotionOrdered, *group,
       fmt::format("{} for {}, token {}, {}; acknowledged {}.{}; {} ms after the logs:{}",
-                  successor->value(), NameOf(reason), claim.row.token, DescribeOrder(ordered),
-                  group->acknowledged().term.value(), group->acknowledged().index.value(),
-                  ToMillis(Clock::now() - read_at).count(), logs),
+                  choice.successor->value(), NameOf(reason), claim.row.token,
+                  DescribeOrder(ordered), group->acknowledged().term.value(),
+                  group->acknowledged().index.value(),
+                  ToMillis(Clock::now() - choice.stopped_at).count(), choice.logs),
       stop_at);
   if (IsRefused(ordered)) {
     co_await SetOrderOutstanding(*group, claim, false);
@@ -400,9 +400,9 @@
     co_return TakeoverResult::kUnfinished;
   }
   // The promotion itself resumes the other replicas.
-  const auto promoted_at = co_await WaitUntilPrimary(group, *successor);
+  const auto promoted_at = co_await WaitUntilPrimary(group, *choice.successor);
   if (promoted_at) {
-    Log(EventCode::kPrimaryPromoted, *group, DescribePromoted(*successor, *promoted_at),
+    Log(EventCode::kPrimaryPromoted, *group, DescribePromoted(*choice.successor, *promoted_at),
         group->term());
     co_await SetOrderOutstanding(*group, claim, false);
     group->ClearStallEvidence();
--- a/tests/unit/takeover_attempt.cc
+++ b/tests/unit/takeover_attempt.cc
@@ -264,6 +264,9 @@
         result.received = status.received;
       }
     }
+    if (was_primary && !result.stopped && m_world.IsDisabled(Rule::kLostPrimaryOfNewestTerm)) {
+      result.covered_by = Position();
+    }
     results.push_back(result);
   };
   for (const int i : ListedServers()) {
@@ -271,16 +274,16 @@
     add(i, was_primary, m_list[static_cast<std::size_t>(i)].leaving,
         was_primary ? m_stepped_down : m_answers);
   }
-  Position longest;
-  for (const auto& result : results) {
-    longest = result.stopped && !result.was_primary ? std::max(longest, result.received) : longest;
-  }
   const std::vector<std::pair<int, ServerStatus>> none;
   for (const auto& departed : m_departed) {
     add(departed.server, false, true, departed.restarted ? none : m_answers);
-    results.back().safe_to_ignore = m_world.options().samples_departed
-                                        ? departed.covering && longest >= *departed.covering
-                                        : m_world.now() - departed.since > GoneAfter(departed);
+    auto& result = results.back();
+    result.was_primary = !result.stopped && m_primary == departed.server;
+    if (m_world.options().samples_departed) {
+      result.covered_by = departed.covering;
+    } else if (m_world.now() - departed.since > GoneAfter(departed)) {
+      result.covered_by = Position();
+    }
   }
   return results;
 }
@@ -298,9 +301,9 @@
         works || (result.was_primary && !result.stopped && Reaches(i) && m_group.At(i).is_primary);
     logs += fmt::format(" s{}{}={}.{}{}", i, result.was_primary ? "*" : "",
                         result.received.term.value(), result.received.index.value(),
-                        result.stopped          ? ""
-                        : result.safe_to_ignore ? "(departed)"
-                                                : "(not stopped)");
+                        result.stopped      ? ""
+                        : result.covered_by ? "(departed)"
+                                            : "(not stopped)");
   }
   if (m_world.IsDisabled(Rule::kAllReplicasAnswered)) {
     std::erase_if(results, [](const auto& result) { return !result.stopped; });
