Takeovers wait for the list of servers after an outage of the store

Cause: entries of living servers lapse while the store is away and return within two seconds; a proxy that never saw such a server compared logs without it.

Change: after an outage of over 2 s no takeover starts for list-return-ms.

--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -12,6 +12,8 @@
 constexpr Millis kReadTimeout{1000};
 // Groups of which this proxy is not a home are closed if no peer has requested them for this long.
 constexpr Millis kUnusedGroupRetention{15'000};
+// Entries of servers may lapse in an outage of the store that lasts longer, and return after it.
+constexpr Millis kEntriesLapse{2000};
 
 }  // namespace
 
@@ -79,6 +81,11 @@
   }
   if (reachable != m_store_reachable) {
     m_store_reachable = reachable;
+    if (!reachable) {
+      m_store_lost_at = Clock::now();
+    } else if (Clock::now() - m_store_lost_at > kEntriesLapse) {
+      ExpectListChanges();
+    }
     m_context.events.Emit(
         reachable ? EventCode::kPlatformReachable : EventCode::kPlatformUnreachable,
         {.detail = detail});
@@ -161,6 +168,10 @@
 
 void Directory::OnServersRestored() {
   m_servers.OnStoreRestored();
+  ExpectListChanges();
+}
+
+void Directory::ExpectListChanges() {
   for (const auto& [id, group] : m_groups) {
     group->ExpectListChanges(Millis(m_context.settings.list_return_ms));
   }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -109,6 +109,8 @@
   void AdoptConfiguration();
   void AdoptServers();
   void OnServersRestored();
+  // Servers may be missing from the list for now, so no takeover starts.
+  void ExpectListChanges();
   // Schedules another AdoptServers after `list_return_ms`, when missing entries may be dropped.
   void RecheckServers();
   void UpdateGroups();
@@ -128,6 +130,7 @@
   std::string m_configuration_text;
   bool m_has_servers = false;
   bool m_store_reachable = true;
+  TimePoint m_store_lost_at;
   TimePoint m_store_failed_at;
   bool m_rechecking = false;
   bool m_stopped = false;
