Outage takeover: the reservation is not replaced while an attempt uses it

Change: no reservation is made during an attempt, and no attempt starts while one is being made.

Result: OutageTakeoverTest passes; no test of the race itself.

--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -66,7 +66,7 @@
   const bool due = now - *held.owner_since >= kMinOwnershipTime && now >= held.next_attempt_at;
   const bool possible =
       group->primary() && !group->health().failing_since && !m_hooks.store_unavailable_since();
-  if (held.reserving || !due || !possible || IsReservationUsable(held, *group)) {
+  if (held.reserving || held.running || !due || !possible || IsReservationUsable(held, *group)) {
     return;
   }
   held.reserving = true;
@@ -161,14 +161,14 @@
   co_return ToSurveyedServers(answers.statuses);
 }
 
-asio::awaitable<std::optional<EndpointId>> OutageTakeover::StopAndChooseSuccessor(
+asio::awaitable<std::optional<EndpointId>> OutageTakeover::StopAndChoose(
     std::shared_ptr<GroupClient> group,
     TokenReservation reservation,
     TimePoint opened_before) {
   const Term stop_at(reservation.term.value() + 1);
   const ControlRequest stop{.term = stop_at, .opened_before = opened_before};
   const ServerStatuses none;
-  const auto choice = co_await cardamom::StopAndChooseSuccessor(m_context, group, none, stop);
+  const auto choice = co_await StopAndChooseSuccessor(m_context, group, none, stop);
   if (!choice.successor) {
     BackOff(*group, choice.objection + ":" + choice.logs);
     co_return std::nullopt;
@@ -219,9 +219,18 @@
 }
 
 asio::awaitable<TakeoverResult> OutageTakeover::Run(std::shared_ptr<GroupClient> group) {
-  if (!MayRun(group->id())) {
+  auto& held = m_held[group->id()];
+  if (!MayRun(group->id()) || held.reserving) {
     co_return TakeoverResult::kBackedOff;
   }
+  held.running = true;
+  const auto result = co_await RunWithReservation(group);
+  held.running = false;
+  co_return result;
+}
+
+asio::awaitable<TakeoverResult> OutageTakeover::RunWithReservation(
+    std::shared_ptr<GroupClient> group) {
   const auto& held = m_held[group->id()];
   const auto store_unavailable_since = m_hooks.store_unavailable_since();
   if (held.ordered_successor && BootClock::now() > held.valid_until) {
@@ -246,7 +255,7 @@
   }
   const auto valid_until = BootClock::now() + kTokenValidity;
   m_held[group->id()].valid_until = valid_until;
-  const auto successor = co_await StopAndChooseSuccessor(group, reservation, opened_before);
+  const auto successor = co_await StopAndChoose(group, reservation, opened_before);
   if (!successor || BootClock::now() > valid_until) {
     // The servers stay stopped. A proxy that finds them so finishes the takeover once the store is
     // available again.
--- a/src/gateway/outage_takeover.h
+++ b/src/gateway/outage_takeover.h
@@ -61,6 +61,8 @@
     // order, or another proxy is the reservation owner.
     bool unusable = false;
     bool reserving = false;
+    // An attempt with the token is in progress, so it must not be replaced.
+    bool running = false;
     TimePoint next_attempt_at;
     std::optional<TimePoint> owner_since;
   };
@@ -73,10 +75,10 @@
   asio::awaitable<std::vector<SurveyedServer>> Survey(std::shared_ptr<GroupClient> group,
                                                       TimePoint opened_before);
   // Stops the servers and chooses the successor. Returns nothing if no choice is safe.
-  asio::awaitable<std::optional<EndpointId>> StopAndChooseSuccessor(
-      std::shared_ptr<GroupClient> group,
-      TokenReservation reservation,
-      TimePoint opened_before);
+  asio::awaitable<std::optional<EndpointId>> StopAndChoose(std::shared_ptr<GroupClient> group,
+                                                           TokenReservation reservation,
+                                                           TimePoint opened_before);
+  asio::awaitable<TakeoverResult> RunWithReservation(std::shared_ptr<GroupClient> group);
   asio::awaitable<TakeoverResult> Order(std::shared_ptr<GroupClient> group, EndpointId successor);
   // Logs `reason` and returns kBackedOff.
   TakeoverResult BackOff(const GroupClient& group, const std::string& reason);
