Takeover: a server that returns under a new id stands for its departed log

Callers: a group could stay without a primary although a crashed primary had returned with its log: the departed id was still waited for.

Change: a departed server is accounted for by a stopped server at its address whose log reaches what the departed one had last reported.

Result: DepartedServerTest.ACrashedPrimaryThatReturnsUnderANewId..., which fails without the rule.

--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -38,6 +38,8 @@
   int consecutive_failures = 0;
   // A probe that checks whether the server is the primary is in progress.
   bool probing = false;
+  // Greatest position that the server reported: of its log, or of what it had applied.
+  Position last_position;
   // When the list first showed the server as leaving.
   std::optional<TimePoint> leaving_since;
 };
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -418,6 +418,7 @@
     const auto detail = reply.reply.error ? std::string(ToString(reply.reply.error->code)) : "";
     co_return Error{ResultCode::kBadAnswer, "no status: " + detail, Ran::kNo};
   }
+  endpoint->last_position = std::max(endpoint->last_position, reply.status->received);
   co_return ControlAnswer{*reply.status, (*lease)->opened_at};
 }
 
@@ -555,6 +556,7 @@
   SetPrimary(endpoint, position.term, "answer");
   CheckForMissingCommit(*endpoint, asked_at, position);
   m_watermarks.Add(asked_at, position);
+  endpoint->last_position = std::max(endpoint->last_position, position);
   for (auto& server : m_departed) {
     RecordPosition(server, asked_at, position);
   }
@@ -601,6 +603,7 @@
 
 void GroupClient::OnReplicaAnswer(const EndpointPtr& endpoint, Position applied) {
   const auto now = BootClock::now();
+  endpoint->last_position = std::max(endpoint->last_position, applied);
   endpoint->lag = m_watermarks.LagOf(applied, now);
   endpoint->lag_updated_at = now;
   endpoint->consecutive_failures = 0;
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -81,6 +81,13 @@
       }
       return;
     }
+    if (const auto* successor = FindAtAddress(*departed.endpoint)) {
+      server.stopped = true;
+      server.received = successor->received;
+      server.was_primary = departed.was_primary;
+      m_servers.push_back(server);
+      return;
+    }
     const auto failure = paused.failures.find(server.endpoint);
     const bool process_gone =
         departed.restarted || (failure != paused.failures.end() &&
@@ -118,6 +125,19 @@
     return server;
   }
 
+  // The stopped server that took over the address of `departed`, and with it its log.
+  const StopResult* FindAtAddress(const Endpoint& departed) const {
+    for (const auto& server : m_servers) {
+      const auto endpoint = m_group.Find(server.endpoint);
+      if (server.stopped && endpoint && endpoint->entry.id != departed.entry.id &&
+          endpoint->entry.address == departed.entry.address && !departed.entry.address.empty() &&
+          server.received >= departed.last_position) {
+        return &server;
+      }
+    }
+    return nullptr;
+  }
+
   // A server that restarted without its log holds the latest position that the primary reported
   // only if the primary sent it the log again.
   bool MayLackEntries(const StopResult& answered) const {
--- a/tests/unit/departed_server_test.cc
+++ b/tests/unit/departed_server_test.cc
@@ -130,6 +130,27 @@
   EXPECT_TRUE(WasNothingLost());
 }
 
+// Guards against a group that stays without a primary: the crashed primary returned at its address,
+// under a new id and with its log, and the replica that had acknowledged with it is gone for good.
+TEST_F(DepartedServerTest, ACrashedPrimaryThatReturnsUnderANewIdIsPromotedWithItsLog) {
+  CommitOnFirstReplicaOnly();
+  m_fake_group.Exit(m_fake_group.server(0));
+  m_fake_group.Exit(m_fake_group.server(1));
+  auto entries = EntriesWithout("e0");
+  entries.erase(entries.begin());
+  List(entries);
+  Wait(kGone);
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_orders.empty());
+  m_fake_group.Restart(m_fake_group.server(0), 1000, true);
+  m_fake_group.server(0).is_primary = false;
+  m_fake_group.server(0).entry.id = EndpointId("e9");
+  List(EntriesWithout("e1"));
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_fake_group.server(0).is_primary);
+  EXPECT_TRUE(WasNothingLost());
+}
+
 // Guards against a lost commit: a server was listed after the others had been asked, and held
 // commits that they lacked.
 TEST_F(DepartedServerTest, AServerThatIsListedDuringTheTakeoverIsAskedBeforeAnOrder) {
