Fence row: a new era does not hide reservations of earlier ones

Cause: a reservation that wrote the first row of an era left it closed and named only itself, so that the next claim announced nothing, although a token reserved before the restore may still be used without the store (found by review, read from the code).

Change: the first row of an era counts the earlier reservations as replaced.

--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -78,11 +78,13 @@
 }
 
 // The row to start from in an era that has none. In all eras but 0 an order of an earlier era may
-// be pending, since the row that would show it may be lost. Pure and thread safe.
+// be pending, since the row that would show it may be lost; a reservation of an earlier era counts
+// as replaced. Pure and thread safe.
 inline FenceRow InitialFenceRow(StoreEra era) {
   FenceRow row;
   row.token = era.value() << kTokenBitsPerEra;
   row.open = era > StoreEra();
+  row.replaced = row.token;
   return row;
 }
 
--- a/tests/unit/outage_takeover_test.cc
+++ b/tests/unit/outage_takeover_test.cc
@@ -224,5 +224,15 @@
   EXPECT_FALSE(MayReserve(census, row, 1'000'000));
 }
 
+// Guards against a lost commit: the first row of an era was written by a reservation, and did not
+// show that the reserved token of the era before may still be used.
+TEST(OutageRulesTest, TheFirstReservationOfAnEraDoesNotHideThoseOfEarlierEras) {
+  auto row = AddReservation(InitialFenceRow(StoreEra(1)), TokenReservation{0, "vm-1", Term(1), {}});
+  row.open = false;
+  EXPECT_EQ(FindOutstandingOrder(row, false, row.reserved), OutstandingOrder::kReservation);
+  row.void_below = row.token;
+  EXPECT_EQ(FindOutstandingOrder(row, false, row.reserved), OutstandingOrder::kNone);
+}
+
 }  // namespace
 }  // namespace cardamom::testing
