Departed servers: an answer is a sign of life, an empty log no substitute

Cause: found by review. A departed server that answered without a free slot counted as gone; a server that started empty at a departed one's address stood for its log if this proxy had never seen the latter's position; the position kept for forgotten servers was never lowered by later samples.

Change: a status or a refusal for lack of room leaves the server uncovered; a substitute must hold the latest position that a primary reported; the kept position falls to the least one sampled since.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -416,7 +416,7 @@
   const auto& reply = answer.replies.front();
   if (!reply.status) {
     const auto detail = reply.reply.error ? std::string(ToString(reply.reply.error->code)) : "";
-    co_return Error{ResultCode::kBadAnswer, "no status: " + detail, Ran::kNo};
+    co_return Error{ResultCode::kOverloaded, "no status: " + detail, Ran::kNo};
   }
   endpoint->last_position = std::max(endpoint->last_position, reply.status->received);
   co_return ControlAnswer{*reply.status, (*lease)->opened_at};
@@ -560,6 +560,9 @@
   for (auto& server : m_departed) {
     RecordPosition(server, asked_at, position);
   }
+  if (m_departed_position) {
+    m_departed_position = std::min(*m_departed_position, position);
+  }
   m_last_primary_answer_at = Clock::now();
   m_lost_since.reset();
   endpoint->consecutive_failures = 0;
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -94,8 +94,14 @@
                                (failure->second.code == ResultCode::kBadAnswer ||
                                 failure->second.code == ResultCode::kConnectionRefused));
     server.was_primary = departed.was_primary;
-    server.covered_by =
-        process_gone ? departed.position_after_exit : departed.position_after_no_answer;
+    // A server that answers, though it is not stopped, may still acknowledge commits.
+    const bool alive =
+        answers.statuses.contains(server.endpoint) ||
+        (failure != paused.failures.end() && failure->second.code == ResultCode::kOverloaded);
+    if (!alive) {
+      server.covered_by =
+          process_gone ? departed.position_after_exit : departed.position_after_no_answer;
+    }
     m_servers.push_back(server);
   }
 
@@ -125,13 +131,14 @@
     return server;
   }
 
-  // The stopped server that took over the address of `departed`, and with it its log.
+  // The stopped server that took over the address of `departed`, and with it its log. A server that
+  // started there without a log does not hold the latest position that a primary reported.
   const StopResult* FindAtAddress(const Endpoint& departed) const {
     for (const auto& server : m_servers) {
       const auto endpoint = m_group.Find(server.endpoint);
       if (server.stopped && endpoint && endpoint->entry.id != departed.entry.id &&
           endpoint->entry.address == departed.entry.address && !departed.entry.address.empty() &&
-          server.received >= departed.last_position) {
+          !MayLackEntries(server) && server.received >= departed.last_position) {
         return &server;
       }
     }
--- a/tests/unit/departed_server_test.cc
+++ b/tests/unit/departed_server_test.cc
@@ -151,6 +151,43 @@
   EXPECT_TRUE(WasNothingLost());
 }
 
+// Guards against a lost commit: a server that started without a log at the address of a departed
+// replica stood for that replica's log.
+TEST_F(DepartedServerTest, AnEmptyServerAtItsAddressDoesNotStandForADepartedReplica) {
+  CommitOnFirstReplicaOnly();
+  FirstReplicaDeparts(Millis(10));
+  m_fake_group.Restart(m_fake_group.server(1), 1000);
+  m_fake_group.server(1).replication_blocked = true;
+  m_fake_group.server(1).entry.id = EndpointId("e7");
+  List(m_fake_group.Entries());
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a lost commit: a replica that was not listed any more had no free slot to obey the
+// stop, and counted as gone although it answered and still acknowledged commits.
+TEST_F(DepartedServerTest, AReplicaThatIsTooBusyToStopIsNotGone) {
+  Sample(0);
+  List(EntriesWithout("e1"));
+  Wait(kGone);
+  Sample(0);
+  CommitOnFirstReplicaOnly();
+  m_fake_group.server(0).unresponsive = true;
+  m_fake_group.server(1).slots_exhausted = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a lost commit: the attempt began before the store was known to have been away, and
+// compared logs while living servers were missing from the list.
+TEST_F(DepartedServerTest, NoLogsAreComparedWhileServersReturnToTheList) {
+  m_fake_group.server(0).unresponsive = true;
+  m_gateway.group->ExpectListChanges(Millis(2000));
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_orders.empty());
+}
+
 // Guards against a lost commit: a server was listed after the others had been asked, and held
 // commits that they lacked.
 TEST_F(DepartedServerTest, AServerThatIsListedDuringTheTakeoverIsAskedBeforeAnOrder) {
