Takeover: shorter attempts, replicas are not left paused

Cause: with a reservation of another proxy two surveys each waited 250 ms for the crashed primary, and the token expired before the order; when an attempt gave up late, its replicas stayed paused, and a working primary was replaced since paused replicas look cut off. Found by the trace and by review: an attempt that itself finds the store back used a list in which servers may be missing; a stop of a suspended holder was sent late.

Change: the token is announced before the only survey unless the primary may be kept; servers are resumed before the row is closed, and an expired attempt is repeated at once; paused replicas show no stall; no logs are compared while servers return to the list; a stop carries the token's validity.

--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -179,6 +179,8 @@
   ServerListSnapshot SnapshotServerList() const;
   // Servers may be missing from the list for `span`, in which IsListSettled() does not hold.
   void ExpectListChanges(Millis span) { m_list_settles_at = Clock::now() + span; }
+  // Whether servers may be missing from the list, see ExpectListChanges.
+  bool IsListReturning() const { return Clock::now() < m_list_settles_at; }
   // Whether the server list has been read for long enough to be complete.
   bool IsListSettled() const;
   // Whether a server reported within the last second that it is too busy or at its connection
@@ -199,7 +201,7 @@
   // slot. Returns the position if it is. An endpoint has one probe at a time; further ones wait.
   asio::awaitable<std::optional<Position>> ProbeIfPrimary(EndpointPtr endpoint, TimePoint deadline);
 
-  // Sends one request on a control link. Errors: as LinkOpener, kDeadlineExpired, and kBadAnswer
+  // Sends one request on a control link. Errors: as LinkOpener, kDeadlineExpired, and kOverloaded
   // for an answer without a status.
   asio::awaitable<Outcome<ControlAnswer>> SendControlRequest(EndpointPtr endpoint,
                                                              ControlRequest request,
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -246,7 +246,8 @@
     if (!status.is_primary || !endpoint || endpoint->entry.leaving) {
       continue;
     }
-    if (reason == TakeoverReason::kStalled) {
+    // Paused replicas receive nothing, so they do not show whether the primary is cut off.
+    if (reason == TakeoverReason::kStalled && !IsAnyPaused(statuses)) {
       const bool stalled = co_await ConfirmStall(group, statuses);
       if (stalled) {
         continue;
@@ -281,7 +282,7 @@
   // A server that started since the list was last read may already have received commits that no
   // other replica has, so it must be asked too.
   const bool refreshed = co_await m_refresh_servers();
-  if (!refreshed) {
+  if (!refreshed || group->IsListReturning()) {
     co_return TakeoverResult::kBackedOff;
   }
   if (claim->row.reserved) {
@@ -294,12 +295,16 @@
 asio::awaitable<TakeoverResult> Takeover::Replace(std::shared_ptr<GroupClient> group,
                                                   TakeoverReason reason,
                                                   Claim claim) {
-  auto statuses = co_await Survey(group);
   const bool row_was_closed = claim.outstanding == OutstandingOrder::kNone ||
                               claim.outstanding == OutstandingOrder::kReservation;
-  std::optional<EndpointId> healthy;
-  if (row_was_closed) {
-    healthy = co_await FindHealthyPrimary(group, reason, statuses);
+  // A primary that only seems to be cut off is kept without an announcement, which would make the
+  // reserved token void.
+  const bool may_keep = claim.outstanding == OutstandingOrder::kNone ||
+                        (row_was_closed && reason == TakeoverReason::kStalled);
+  ServerStatuses statuses;
+  if (may_keep) {
+    statuses = co_await Survey(group);
+    const auto healthy = co_await FindHealthyPrimary(group, reason, statuses);
     if (healthy && (claim.outstanding == OutstandingOrder::kNone || !IsAnyPaused(statuses))) {
       co_return co_await KeepPrimary(group, claim, *healthy, statuses);
     }
@@ -316,9 +321,10 @@
                              ToSurveyedServers(statuses))) {
       co_return co_await WaitUntilSettled(group, claim);
     }
-    if (!row_was_closed || PrimariesIn(before) != PrimariesIn(statuses)) {
-      healthy = co_await FindHealthyPrimary(group, reason, statuses);
-    }
+    const bool checked =
+        may_keep && !IsAnyPaused(before) && PrimariesIn(before) == PrimariesIn(statuses);
+    const auto healthy =
+        checked ? std::nullopt : co_await FindHealthyPrimary(group, reason, statuses);
     if (healthy) {
       co_return co_await KeepPrimary(group, claim, *healthy, statuses);
     }
@@ -337,6 +343,9 @@
     co_await SetOrderOutstanding(*group, claim, false);
   }
   if (IsAnyPaused(statuses)) {
+    if (BootClock::now() > claim.valid_until) {
+      co_return TakeoverResult::kUnfinished;
+    }
     co_await Resume(group, claim, primary);
   }
   group->ClearStallEvidence();
@@ -347,11 +356,12 @@
                                                  Claim claim,
                                                  std::string reason) {
   Log(EventCode::kPromotionFailed, *group, reason);
+  const bool valid = BootClock::now() <= claim.valid_until;
+  co_await Resume(group, claim, std::nullopt);
   const bool closed = co_await SetOrderOutstanding(*group, claim, false);
-  if (!closed) {
+  if (!closed || !valid) {
     co_return TakeoverResult::kUnfinished;
   }
-  co_await Resume(group, claim, std::nullopt);
   co_return TakeoverResult::kBackedOff;
 }
 
@@ -370,7 +380,7 @@
     Log(EventCode::kPromotionFailed, *group, "the row was not marked", stop_at);
     co_return TakeoverResult::kBackedOff;
   }
-  const ControlRequest stop{.term = stop_at};
+  const ControlRequest stop{.term = stop_at, .valid_until = claim.valid_until};
   const auto choice = co_await StopAndChooseSuccessor(m_context, group, statuses, stop);
   if (!choice.successor) {
     co_return co_await GiveUp(group, claim, choice.objection + ":" + choice.logs);
--- a/tests/unit/takeover_test.cc
+++ b/tests/unit/takeover_test.cc
@@ -160,6 +160,17 @@
   EXPECT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
 }
 
+// Guards against the replacement of a working primary: a holder that died left its replicas paused,
+// so that they lack the primary's last entries.
+TEST_F(TakeoverTest, APrimaryWhoseReplicasWereLeftPausedStays) {
+  m_fake_group.server(1).paused_at = Term(2);
+  m_fake_group.server(2).paused_at = Term(2);
+  EXPECT_FALSE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kStalled));
+  EXPECT_TRUE(m_orders.empty());
+  EXPECT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w2"));
+}
+
 // Safety of the choice: the chosen server holds every commit that at least one replica received.
 RC_GTEST_PROP(SuccessorProperty, HoldsEveryAcknowledgedCommit, ()) {
   const auto count = *rc::gen::inRange<std::size_t>(2, 6);
