--- a/tests/unit/takeover_attempt.cc
+++ b/tests/unit/takeover_attempt.cc
@@ -56,6 +56,9 @@
 void Proxy::Claim() {
   m_history_lost = m_loaded.history_lost;
   m_row = m_loaded.row;
+  if (m_history_lost && m_world.IsDisabled(Rule::kHistoryLost)) {
+    m_row.replaced = 0;
+  }
   ++m_row.token;
   m_row.holder = Name();
   m_row.at_ms = m_loaded.now_ms;
