--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -288,19 +288,17 @@
   if (claim->row.reserved) {
     group->ExpectServers(claim->row.reserved->servers);
   }
-  const auto result = co_await Replace(group, reason, *claim);
-  co_return result;
+  co_return co_await Replace(group, reason, *claim);
 }
 
 asio::awaitable<TakeoverResult> Takeover::Replace(std::shared_ptr<GroupClient> group,
                                                   TakeoverReason reason,
                                                   Claim claim) {
-  const bool row_was_closed = claim.outstanding == OutstandingOrder::kNone ||
-                              claim.outstanding == OutstandingOrder::kReservation;
   // A primary that only seems to be cut off is kept without an announcement, which would make the
   // reserved token void.
-  const bool may_keep = claim.outstanding == OutstandingOrder::kNone ||
-                        (row_was_closed && reason == TakeoverReason::kStalled);
+  const bool may_keep =
+      claim.outstanding == OutstandingOrder::kNone ||
+      (claim.outstanding == OutstandingOrder::kReservation && reason == TakeoverReason::kStalled);
   ServerStatuses statuses;
   if (may_keep) {
     statuses = co_await Survey(group);
