--- a/tests/unit/takeover_world.h
+++ b/tests/unit/takeover_world.h
@@ -39,7 +39,8 @@
   kAnnounceFirst,
   // Tokens are claimed while an accepted order may still be carried out.
   kWaitUntilSettled,
-  // The primary that a proxy saw last counts as the lost one, though others answer in a newer term.
+  // The primary that a proxy saw last counts as the lost one, though others answer in a newer term,
+  // and any number of lost primaries is ignored.
   kLostPrimaryOfNewestTerm,
   // Tokens are claimed while living servers may be missing from the list after an outage.
   kListSettled,
