--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -314,15 +314,18 @@
     }
     // The logs that are compared must be read after the last moment at which an earlier order could
     // be accepted, and after those accepted until then were carried out.
-    const auto before = std::exchange(statuses, co_await Survey(group));
+    auto surveyed_again = co_await Survey(group);
+    const auto before = std::exchange(statuses, std::move(surveyed_again));
     if (MustWaitUntilSettled(claim.outstanding, ShowNoTakeover(*group, statuses),
                              ToSurveyedServers(statuses))) {
       co_return co_await WaitUntilSettled(group, claim);
     }
     const bool checked =
         may_keep && !IsAnyPaused(before) && PrimariesIn(before) == PrimariesIn(statuses);
-    const auto healthy =
-        checked ? std::nullopt : co_await FindHealthyPrimary(group, reason, statuses);
+    std::optional<EndpointId> healthy;
+    if (!checked) {
+      healthy = co_await FindHealthyPrimary(group, reason, statuses);
+    }
     if (healthy) {
       co_return co_await KeepPrimary(group, claim, *healthy, statuses);
     }
