--- a/review/world/world.cc
+++ b/review/world/world.cc
@@ -6,7 +6,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <sstream>
 #include <stdexcept>
 
@@ -103,20 +102,29 @@
   return {io, Tcp::endpoint(asio::ip::make_address(kHost), 0)};
 }
 
-asio::awaitable<std::optional<std::string>> ReadLineFrom(Tcp::socket& socket, std::string& buffer) {
+// Reads at most `bytes` at a time and pauses after each piece.
+asio::awaitable<std::optional<std::string>> ReadLineFrom(Tcp::socket& socket,
+                                                         std::string& buffer,
+                                                         std::size_t bytes = 4096,
+                                                         Millis pause = Millis(0)) {
+  std::size_t searched = 0;
   for (;;) {
-    const auto end = buffer.find("\r\n");
+    const auto end = buffer.find("\r\n", searched);
     if (end != std::string::npos) {
       auto line = buffer.substr(0, end);
       buffer.erase(0, end + 2);
       co_return line;
     }
-    std::array<char, 4096> chunk{};
+    searched = buffer.empty() ? 0 : buffer.size() - 1;
+    std::vector<char> chunk(bytes);
     const auto [error, count] = co_await socket.async_read_some(asio::buffer(chunk), kAwait);
     if (error) {
       co_return std::nullopt;
     }
     buffer.append(chunk.data(), count);
+    if (pause > Millis(0)) {
+      co_await Sleep(pause);
+    }
   }
 }
 
@@ -240,6 +248,12 @@
   m_tables[table][{"", key}] = Row{"", ++m_version, true};
 }
 
+std::size_t Store::Count(const std::string& table) {
+  const auto& rows = m_tables[table];
+  return static_cast<std::size_t>(
+      std::count_if(rows.begin(), rows.end(), [](const auto& row) { return !row.second.gone; }));
+}
+
 std::string Store::Rows(const HttpCall& call, std::uint64_t after, bool all, bool& any) {
   const auto table = ValueOr(call.query, "table", "");
   const auto part = ValueOr(call.query, "part", "");
@@ -484,21 +498,29 @@
   }
   if (word == "PARSE") {
     const auto name = TakeWord(rest);
-    connection.prepared[name] = TakeWord(rest);
+    connection.prepared[name] = rest;
     co_return "COMPLETE -\r\n";
   }
+  if (word == "DISCARD") {
+    connection.prepared.clear();
+  }
   if (word == "SET" || word == "DISCARD" || word == "CLOSE") {
     co_return "COMPLETE -\r\n";
   }
+  std::string shape;
   if (word == "EXECUTE") {
     const auto name = TakeWord(rest);
     const auto prepared = connection.prepared.find(name);
     if (prepared == connection.prepared.end()) {
       co_return "ERROR NOSTMT -\r\n";
     }
-    word = prepared->second;
+    shape = prepared->second;
+    word = TakeWord(shape);
   }
-  co_return co_await RunStatement(connection, std::move(id), std::move(word), std::move(text));
+  const auto run_id = id;
+  auto answer = co_await RunStatement(connection, std::move(id), std::move(word), std::move(text));
+  m_group.runs[run_id].shape = shape;
+  co_return answer;
 }
 
 asio::awaitable<std::string> Server::RunStatement(Connection& connection,
@@ -508,12 +530,16 @@
   if (word == "PUT" && !primary) {
     co_return "ERROR READONLY " + m_id + "\r\n";
   }
-  m_group.runs[id] = Run{m_id, text, m_group.record().Now(), std::nullopt};
+  m_group.runs[id] = Run{m_id, text, "", m_group.record().Now(), std::nullopt};
   m_group.record().Line("server " + m_id + " runs " + id + " " + text);
   co_await Sleep(m_group.work);
   const auto complete = "COMPLETE mac-" + m_id + "-" + id + "\r\n";
   if (word == "FETCH") {
-    co_return "DATAROW row-" + id + "\r\n" + complete;
+    std::string answer;
+    for (std::size_t i = 0; i < m_group.rows; ++i) {
+      answer += "DATAROW row-" + id + std::string(m_group.row_bytes, 'x') + "\r\n";
+    }
+    co_return answer + complete;
   }
   const bool commits = word == "COMMIT" || !connection.in_transaction;
   if (word == "PUT") {
@@ -628,7 +654,14 @@
 // Consumers ---------------------------------------------------------------------------------------
 
 asio::awaitable<std::optional<std::string>> Session::ReadLine() {
-  co_return co_await ReadLineFrom(m_socket, m_buffer);
+  co_return co_await ReadLineFrom(m_socket, m_buffer, m_read_bytes, m_read_pause);
+}
+
+void Session::LimitReading(std::size_t bytes, Millis pause) {
+  m_read_bytes = bytes;
+  m_read_pause = pause;
+  m_socket.open(Tcp::v4());
+  m_socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)));
 }
 
 asio::awaitable<bool> Session::Connect(std::uint16_t port, std::string database) {
--- a/review/world/world.h
+++ b/review/world/world.h
@@ -85,6 +85,8 @@
   // Writes of the operator and of the servers; `value` is not encoded yet.
   void Put(const std::string& table, const std::string& key, const std::string& value);
   void Drop(const std::string& table, const std::string& key);
+  // The number of rows of a table.
+  std::size_t Count(const std::string& table);
 
  private:
   struct Row {
@@ -164,6 +166,8 @@
 struct Run {
   std::string server;
   std::string text;
+  // The shape of an executed prepared statement.
+  std::string shape;
   std::int64_t started = 0;
   // When the answer was written; nothing while the server is at work.
   std::optional<std::int64_t> answered;
@@ -190,6 +194,9 @@
   // Time that a commit takes to a replica.
   Millis lag{5};
   Millis promote_time{300};
+  // Rows of a read, and the length of each.
+  std::size_t rows = 1;
+  std::size_t row_bytes = 0;
   // Statements that carry a consumer's id, by id.
   std::map<std::string, Run> runs;
 
@@ -219,6 +226,8 @@
   };
 
   explicit Session(asio::io_context& io) : m_socket(io) {}
+  // Reads at most so many bytes at a time, with a pause after each; call it before Connect.
+  void LimitReading(std::size_t bytes, Millis pause);
   asio::awaitable<bool> Connect(std::uint16_t port, std::string database);
   asio::awaitable<Answer> Query(std::string id, std::string text);
   void Close();
@@ -228,6 +237,8 @@
 
   Tcp::socket m_socket;
   std::string m_buffer;
+  std::size_t m_read_bytes = 4096;
+  Millis m_read_pause{0};
 };
 
 // A process of the gateway, started with the command of the deploy file.
