--- a/review/world/world.cc
+++ b/review/world/world.cc
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -736,6 +737,8 @@
   std::ofstream(path) << text;
   m_pid = fork();
   if (m_pid == 0) {
+    // The gateway ends with the case, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
