--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -16,17 +16,17 @@
 
 namespace json = boost::json;
 
-constexpr int kConsumers = 20;
+constexpr int kConsumers = 30;
 constexpr int kStatements = 12;
 // Bounds of the small sites.
 constexpr std::int64_t kGraceMs = 6000;
-constexpr std::int64_t kStableWindowMs = 4000;
+constexpr std::int64_t kStableWindowMs = 5000;
 constexpr std::int64_t kSentAfterMs = 3000;
-constexpr std::int64_t kRouteTimeoutMs = 1000;
+constexpr std::int64_t kRouteTimeoutMs = 800;
 // A consumer begins this long after the SIGTERM, rests, and then sends its statements.
 constexpr Millis kBeginAfter{1900};
 constexpr Millis kRestAfterBegin{1250};
-constexpr Millis kPause{130};
+constexpr Millis kPause{165};
 
 struct Request {
   std::string id;
@@ -49,11 +49,11 @@
 
  private:
   asio::awaitable<void> Play() {
-    // The mean work of `deposito`.
-    m_group.work = Millis(33);
-    m_group.Add("i-1", "brescia");
-    m_group.Add("i-2", "verona");
-    m_group.Add("i-3", "cuneo");
+    // The mean work of `dispatch-confirm`.
+    m_group.work = Millis(18);
+    m_group.Add("i-1", "lagos-ikeja");
+    m_group.Add("i-2", "abuja-idu");
+    m_group.Add("i-3", "kano-sharada");
     PutConfig();
     Start();
     for (const auto& gateway : m_gateways) {
@@ -87,18 +87,18 @@
 
   void PutConfig() {
     const json::array routes{json::object{{"name", "r-1"},
-                                          {"host", "deposito"},
+                                          {"host", "dispatch-confirm"},
                                           {"prefix", "/"},
                                           {"kind", "read_your_writes"},
                                           {"timeout_ms", kRouteTimeoutMs},
-                                          {"target_latency_ms", 800},
+                                          {"target_latency_ms", 1000},
                                           {"priority", 2},
-                                          {"service", "archivio"},
+                                          {"service", "member-ledger"},
                                           {"max_attempts", 2},
                                           {"max_staleness_ms", 2500}}};
-    const json::array services{json::object{{"name", "archivio"},
+    const json::array services{json::object{{"name", "member-ledger"},
                                             {"health_path", "/health"},
-                                            {"max_conns", 79},
+                                            {"max_conns", 88},
                                             {"protocol", "h1"},
                                             {"tls", false},
                                             {"sync_replicas", 1}}};
@@ -112,7 +112,7 @@
 
   void Start() {
     const auto seed = "127.0.0.1:" + std::to_string(FreePort());
-    const std::vector<std::string> zones{"brescia", "verona", "cuneo"};
+    const std::vector<std::string> zones{"lagos-ikeja", "abuja-idu", "kano-sharada"};
     for (const auto& zone : zones) {
       const auto control = zone == zones.front() ? seed : "127.0.0.1:" + std::to_string(FreePort());
       m_gateways.push_back(std::make_unique<Gateway>(
@@ -125,7 +125,7 @@
                                              {"platform.address", m_store.address()},
                                              {"cloud.address", m_cloud.address()},
                                              {"limits.max_fds", "2940"},
-                                             {"bounds.config_apply_ms", "3000"},
+                                             {"bounds.config_apply_ms", "4000"},
                                              {"bounds.drain_ms", "7000"},
                                              {"bounds.grace_s", "6"}}));
     }
@@ -147,13 +147,13 @@
   asio::awaitable<void> Consume(int number) {
     Session session(m_io);
     const bool connected =
-        co_await session.Connect(m_gateways.front()->sessions_port(), "deposito");
+        co_await session.Connect(m_gateways.front()->sessions_port(), "dispatch-confirm");
     if (!connected) {
       m_record.Line("a session was not opened");
       co_return;
     }
     const auto name = "c" + std::to_string(number) + "-";
-    co_await Sleep(kBeginAfter + Millis(300 + 10 * number));
+    co_await Sleep(kBeginAfter + Millis(300 + 6 * number));
     bool going = co_await Ask(session, name + "begin", "BEGIN");
     co_await Sleep(kRestAfterBegin);
     for (int i = 0; i < kStatements && going; ++i) {
@@ -205,7 +205,7 @@
   const std::string m_folder;
   const bool m_trouble;
   Store m_store;
-  Group m_group{m_io, m_record, m_store, "archivio"};
+  Group m_group{m_io, m_record, m_store, "member-ledger"};
   HttpListener m_cloud{m_io, [this](HttpCall call) { return m_group.Promote(std::move(call)); }};
   std::vector<std::unique_ptr<Gateway>> m_gateways;
   std::vector<Request> m_requests;
