Stop: a reply that is being sent is not cut off

Cause: whether a connection may be closed was asked of the session, which is idle once the statement has run; the reply is written after that. On the HTTP servers nothing waited for responses to be written either.

--- a/src/fleet/peer_service.cc
+++ b/src/fleet/peer_service.cc
@@ -61,7 +61,7 @@
     response.body = message.error().detail;
     co_return response;
   }
-  const auto in_progress = m_statements.Begin();
+  response.held_until_sent = m_statements.Begin();
   const auto reply = co_await Run(std::move(*message));
   response.body = EncodeJson(reply);
   co_return response;
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +51,8 @@
   std::string body;
   std::string content_type = "application/json";
   std::vector<HttpHeader> headers;
+  // Server only: released once the response has been written or its connection has failed.
+  std::shared_ptr<const void> held_until_sent;
   // Server only: close the connection without a complete response.
   bool close_without_response = false;
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -68,7 +68,7 @@
   } else {
     builder.connection_close();
   }
-  builder.done();
+  builder.done([held = std::move(response.held_until_sent)](const auto& /*failure*/) {});
 }
 
 }  // namespace
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -149,7 +149,9 @@
       return Commit(request);
     }
     if (access == Access::kRead) {
-      return Succeed("signed");
+      auto answer = Succeed("signed");
+      answer.reply.rows = m_server.rows;
+      return answer;
     }
     if (!m_server.is_primary) {
       return Fail(StatementError::kReadOnly);
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -50,6 +50,8 @@
   bool busy = false;
   // Time that a statement takes.
   Millis statement_duration{0};
+  // Rows that a read returns.
+  std::vector<std::string> rows;
   // All slots are taken: it answers status, pause, resume and step-down requests with kBusy and
   // does not step down, but it begins transactions.
   bool slots_exhausted = false;
