HTTP front: a stop answers what it has accepted

Change: deadlines of requests that arrive during a stop end 700 ms before its end, open transactions are refused from then on, and a request counts as in progress until its response has been written.

--- a/src/proxy/caller_api.cc
+++ b/src/proxy/caller_api.cc
@@ -79,18 +79,6 @@
   return out;
 }
 
-// Increments `count` for the lifetime of the object.
-class ScopedCounter {
- public:
-  explicit ScopedCounter(std::atomic<std::size_t>& count) : m_count(count) { ++m_count; }
-  ~ScopedCounter() { --m_count; }
-  ScopedCounter(const ScopedCounter&) = delete;
-  ScopedCounter& operator=(const ScopedCounter&) = delete;
-
- private:
-  std::atomic<std::size_t>& m_count;
-};
-
 }  // namespace
 
 CallerApi::CallerApi(ProxyContext& context,
@@ -108,7 +96,13 @@
       m_transaction_service(context, m_write_service) {}
 
 asio::awaitable<HttpResponse> CallerApi::Handle(HttpRequest request, bool forwarded) {
-  const ScopedCounter in_progress(m_requests_in_progress);
+  auto in_progress = m_requests.Begin();
+  auto response = co_await HandleCounted(request, forwarded);
+  response.held_until_sent = std::move(in_progress);
+  co_return response;
+}
+
+asio::awaitable<HttpResponse> CallerApi::HandleCounted(const HttpRequest& request, bool forwarded) {
   const auto start = Clock::now();
   if (request.body.size() > static_cast<std::size_t>(m_context.settings.max_body_bytes)) {
     co_return FinishRequest(Error{ResultCode::kBodyTooLarge, "the body exceeds max-body-bytes"}, {},
@@ -131,6 +125,11 @@
   co_return response;
 }
 
+void CallerApi::RefuseTransactions() {
+  m_refusing_transactions = true;
+  m_transaction_service.CloseIdle(Millis(0));
+}
+
 Outcome<CallerApi::ParsedRequest> CallerApi::ParseRequest(const HttpRequest& request) const {
   const auto path = std::string_view(request.target).substr(0, request.target.find('?'));
   const auto segments = SplitPath(path);
@@ -182,7 +181,7 @@
       return Error{ResultCode::kDeadlineExpired, "the deadline has passed"};
     }
   }
-  call.deadline = Clock::now() + Millis(deadline_ms);
+  call.deadline = std::min<TimePoint>(Clock::now() + Millis(deadline_ms), m_latest_deadline.load());
   if (const auto key = request.Header(kKeyHeader)) {
     if (key->empty() || key->size() > kMaxKeyLength) {
       return Error{ResultCode::kBadHeader, "Idempotency-Key: must have 1 to 200 characters"};
@@ -211,7 +210,12 @@
     co_return FinishRequest(Error{ResultCode::kUnknownTransaction, "the id has another form"}, call,
                             start);
   }
-  if (*owner != m_membership.self().id && !forwarded) {
+  const bool is_owner = *owner == m_membership.self().id;
+  if (m_refusing_transactions && call.operation != kRollback) {
+    const auto code = is_owner ? ResultCode::kTransactionAborted : ResultCode::kStopping;
+    co_return FinishRequest(Error{code, "the proxy is stopping", Ran::kNo}, call, start);
+  }
+  if (!is_owner && !forwarded) {
     co_return co_await ForwardToOwner(*owner, request, call);
   }
   const auto result = co_await RunTransactionRequest(call, request);
--- a/src/proxy/caller_api.h
+++ b/src/proxy/caller_api.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "cardamom/session_token.h"
+#include "core/activity_counter.h"
 #include "http/http_message.h"
 #include "proxy/caller_messages.h"
 #include "proxy/config_follower.h"
@@ -32,12 +33,22 @@
   // Refuses new work with kStopping from now on; requests of open transactions are still served.
   void RefuseNewWork() { m_refusing = true; }
   bool refusing() const { return m_refusing; }
+  // Moves the deadlines of requests that arrive from now on to `latest`, unless they are earlier.
+  void SetLatestDeadline(TimePoint latest) { m_latest_deadline = latest; }
+  // Refuses requests of open transactions too, except rollbacks: with kTransactionAborted, or with
+  // kStopping if another proxy owns the transaction. Rolls back own transactions without a request
+  // in progress; to be called repeatedly, since the others are left out.
+  void RefuseTransactions();
+  // Number of requests in progress, including those whose response has not been sent yet.
+  std::size_t requests_in_progress() const { return m_requests.count(); }
   // Number of requests in progress plus number of open transactions.
   std::size_t active_count() const {
-    return m_requests_in_progress + m_transaction_service.open_count();
+    return requests_in_progress() + m_transaction_service.open_count();
   }
   // Rolls back the transactions that have been idle for longer than transaction-idle-ms.
-  void CloseIdleTransactions() { m_transaction_service.CloseIdle(Clock::now()); }
+  void CloseIdleTransactions() {
+    m_transaction_service.CloseIdle(Millis(m_context.settings.transaction_idle_ms));
+  }
 
  private:
   // One request after its path and headers were checked. `transaction` is set for the requests of
@@ -51,6 +62,7 @@
     TimePoint deadline;
   };
 
+  asio::awaitable<HttpResponse> HandleCounted(const HttpRequest& request, bool forwarded);
   Outcome<ParsedRequest> ParseRequest(const HttpRequest& request) const;
   Outcome<void> ParseHeaders(const HttpRequest& request, ParsedRequest& call) const;
   asio::awaitable<HttpResponse> Dispatch(const HttpRequest& request,
@@ -97,7 +109,9 @@
   WriteService m_write_service;
   TransactionService m_transaction_service;
   std::atomic<bool> m_refusing{false};
-  std::atomic<std::size_t> m_requests_in_progress{0};
+  std::atomic<bool> m_refusing_transactions{false};
+  std::atomic<TimePoint> m_latest_deadline{TimePoint::max()};
+  const ActivityCounter m_requests;
   std::atomic<std::size_t> m_next_home{0};
 };
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -12,6 +12,8 @@
 
 constexpr Millis kHousekeepingInterval{200};
 constexpr Millis kStopPollInterval{20};
+// Part of the stop limit, at most half of it, that is reserved for sending the last responses.
+constexpr Millis kFinalResponseReserve{700};
 constexpr Millis kPeerTimeout{200};
 constexpr std::size_t kMaxPeersAsked = 4;
 // Margin above max-body-bytes, so that a body over the limit reaches the handler, which answers
@@ -143,14 +145,20 @@
 asio::awaitable<void> Proxy::StopGracefully(std::function<void()> on_stopped) {
   m_events.Emit(EventCode::kProcessStopping);
   m_operations_api.SetNotReady();
+  const auto limit = Millis(m_settings.stop_limit_ms);
+  const auto end = Clock::now() + Millis(m_settings.stop_notice_ms) + limit;
+  const auto latest_deadline = end - std::min(kFinalResponseReserve, limit / 2);
+  m_caller_api.SetLatestDeadline(latest_deadline);
   co_await Sleep(Millis(m_settings.stop_notice_ms));
   m_caller_api.RefuseNewWork();
-  const auto deadline = Clock::now() + Millis(m_settings.stop_limit_ms);
-  while (m_caller_api.active_count() > 0 && Clock::now() < deadline) {
+  while (m_caller_api.active_count() > 0 && Clock::now() < latest_deadline) {
+    co_await Sleep(kStopPollInterval);
+  }
+  m_caller_api.RefuseTransactions();
+  while (m_caller_api.active_count() > 0 && Clock::now() < end) {
+    m_caller_api.RefuseTransactions();
     co_await Sleep(kStopPollInterval);
   }
-  // Leaves time for the last responses to be sent before their connections close.
-  co_await Sleep(kStopPollInterval);
   m_config.Stop();
   m_groups.Stop();
   m_events.Emit(EventCode::kProcessStopped,
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -26,7 +26,9 @@
 
   // Stops gracefully: reports not ready, gives load balancers stop-notice-ms to notice, refuses new
   // work, waits up to stop-limit-ms for requests and transactions in progress, then calls
-  // `on_stopped`. Returns at once.
+  // `on_stopped`. Requests that arrive during the stop get their response before its end; the last
+  // 700 ms of stop-limit-ms, at most half of it, are reserved for that, and transactions that are
+  // still open then are rolled back. Returns at once.
   void Stop(std::function<void()> on_stopped);
 
  private:
--- a/src/proxy/transaction_service.cc
+++ b/src/proxy/transaction_service.cc
@@ -160,11 +160,11 @@
   co_return Outcome<void>();
 }
 
-void TransactionService::CloseIdle(TimePoint now) {
+void TransactionService::CloseIdle(Duration limit) {
+  const auto now = Clock::now();
   std::vector<EntryPtr> closed;
   {
     const std::lock_guard lock(m_mutex);
-    const auto limit = Millis(m_context.settings.transaction_idle_ms);
     std::erase_if(m_entries, [&](const auto& item) {
       const auto& entry = item.second;
       if (entry->busy || now - entry->last_use < limit) {
--- a/src/proxy/transaction_service.h
+++ b/src/proxy/transaction_service.h
@@ -44,8 +44,8 @@
   // Rolls back and closes the transaction. Errors: kUnknownTransaction, kTransactionBusy.
   asio::awaitable<Outcome<void>> Rollback(TransactionId id, TimePoint deadline);
 
-  // Rolls back the transactions that have been idle for longer than transaction-idle-ms.
-  void CloseIdle(TimePoint now);
+  // Rolls back the transactions that have been idle for at least `limit`.
+  void CloseIdle(Duration limit);
 
   // Number of open transactions.
   std::size_t open_count() const;
