Servers: an odd entry of another writer names no server

Reported by operators of systems like ours: one odd entry among those of the servers ended the machines that read the list, or they stopped following it.

Cause: fields were used unchecked. A start or sequence beyond 64 bits went through a conversion whose result is undefined and differs between x86-64 and arm64, and a missing one counted as 0: an odd row in the place of a good one made the server count as restarted, which takeovers rely on.

An entry without a start replaces none with one.

--- a/src/directory/server_list.cc
+++ b/src/directory/server_list.cc
@@ -26,6 +26,11 @@
   return known.departed ? std::nullopt : std::optional(known.entry);
 }
 
+bool ServerList::IsFromAnotherWriter(const EndpointEntry& entry) const {
+  const auto it = m_known.find(entry.id);
+  return entry.started_ms == 0 && it != m_known.end() && it->second.entry.started_ms != 0;
+}
+
 void ServerList::RecordKnown(TimePoint now) {
   for (auto& [id, known] : m_known) {
     known.departed = !m_entries.contains(id) && !m_retained.contains(id);
@@ -50,6 +55,9 @@
   const auto before = std::move(m_entries);
   m_entries.clear();
   for (const auto& entry : entries) {
+    if (IsFromAnotherWriter(entry)) {
+      continue;
+    }
     const auto listed = from_copy.contains(entry.id) ? ResolveCopied(entry) : std::optional(entry);
     if (listed) {
       m_entries[entry.id] = *listed;
--- a/src/directory/server_list.h
+++ b/src/directory/server_list.h
@@ -51,6 +51,8 @@
     TimePoint seen_at;
   };
 
+  // Whether `entry` is not the server's own: it does not tell the start, which the server has told.
+  bool IsFromAnotherWriter(const EndpointEntry& entry) const;
   // The entry to list for `entry` of a copy: itself if it is newer than what was known, what was
   // known otherwise, and nothing if the server has departed.
   std::optional<EndpointEntry> ResolveCopied(const EndpointEntry& entry) const;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -154,6 +154,9 @@
       m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = "server " + key});
     }
   }
+  std::erase_if(m_unreadable, [this](const auto& unreadable) {
+    return !m_servers_follower.rows().contains(unreadable.first);
+  });
   m_servers.OnEntries(entries, Clock::now(), from_copy);
   const bool first = !m_has_servers;
   m_has_servers = true;
--- a/tests/unit/fleet_fakes.cc
+++ b/tests/unit/fleet_fakes.cc
@@ -4,6 +4,7 @@
 
 #include "async/notifier.h"
 #include "async/spawn.h"
+#include "platform/directory_decoders.h"
 
 namespace cardamom::testing {
 namespace {
@@ -142,8 +143,9 @@
     configuration.groups[group.group] = group;
     return configuration;
   };
-  ports.decoders.server = [this](std::string_view id, std::string_view) {
-    return std::optional(fake_group.Find(std::string(id))->entry);
+  ports.decoders.server = [this](std::string_view id, std::string_view text) {
+    return text.empty() ? std::optional(fake_group.Find(std::string(id))->entry)
+                        : platform::MakeDirectoryDecoders().server(id, text);
   };
   ports.order = [this](std::string, std::string endpoint, std::string, std::uint64_t,
                        TimePoint) -> asio::awaitable<Outcome<OrderResult>> {
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -31,7 +31,8 @@
   std::vector<Event> Events(EventCode code);
 };
 
-// Proxies in front of one group. If `direct_vms` is below their number, only some of them are homes
+// Proxies in front of one group. Rows of servers without a value stand for the entries of the fake
+// group; others are decoded as on the platform. If `direct_vms` is below their number, only some of them are homes
 // of the group.
 class FakeFleet {
  public:
