Store: a row that is not base64 is unreadable by itself

Cause: the whole answer was refused if one value of another writer could not be decoded, in reads and in the feed alike, so that the table was not followed any more.

--- a/tests/unit/store_client_test.cc
+++ b/tests/unit/store_client_test.cc
@@ -114,5 +114,24 @@
   EXPECT_FALSE(store.Read().has_value());
 }
 
+// Guards against a table that is not followed any more because one row of another writer holds no
+// base64, in a whole read as well as among changes.
+TEST(StoreClientTest, RowsBesideOneThatIsNotBase64AreRead) {
+  constexpr const char* kRows =
+      R"({"rows":[{"key":"a","ver":3,"value":"YQ=="},{"key":"b","ver":4,"value":"?"},
+          {"key":"c","ver":5,"value":7},{"key":"d","ver":6,"value":"ZA=="}],"ver":8,"now_ms":2})";
+  ScriptedStore store;
+  store.Answer(200, "1", kRows);
+  store.Answer(200, "1", kRows);
+  for (const auto& answer : {store.Read(), store.Follow()}) {
+    ASSERT_TRUE(answer.has_value());
+    ASSERT_EQ(answer->rows.size(), 4U);
+    EXPECT_EQ(answer->rows[0].value, "a");
+    EXPECT_EQ(answer->rows[1].value, "");
+    EXPECT_EQ(answer->rows[2].value, "");
+    EXPECT_EQ(answer->rows[3].value, "d");
+  }
+}
+
 }  // namespace
 }  // namespace cardamom::platform
