HTTP front: an odd record does not stop the others

Cause: the whole configuration was refused if the row of one record could not be read, so that no later change came into force.

Change: such a row counts as a record that is not understood; the group's last one that was stays in force.

Measured, arm64: OddEntryTest.RecordsBesideAnOddOneAreFollowed failed before and passes now.

--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -1,6 +1,7 @@
 #include "proxy/config_follower.h"
 
 #include <algorithm>
+#include <cstring>
 #include <utility>
 
 #include <fmt/format.h>
@@ -41,8 +42,11 @@
       continue;
     }
     auto record = DecodeJson<StoredRecord>(row.value);
-    if (!record) {
-      return record.error();
+    const auto group = row.key.substr(std::min(row.key.size(), std::strlen(kRecordPrefix)));
+    if (!record || record->group.value() != group) {
+      // Another writer's row must not keep the other groups from following the configuration. Its
+      // text is no record, so the group's last record that was understood stays in force.
+      record = StoredRecord{GroupId(group), {}, {}, {}};
     }
     snapshot.records.push_back(std::move(*record));
   }
