Reads: a probe that fails at once does not hold the processor

Cause: a read that needs a sample of the watermark probes the primary in a loop until its time is up. With all links leased, the one above the share included, a probe fails without suspending, so that the only thread of the process stayed in the loop.

Change: the loop waits 20 ms after a probe that gave no sample.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -17,6 +17,8 @@
 constexpr Millis kWatchTick{60};
 // A probe needs no slot and no disk access, so a healthy server answers within the round trip.
 constexpr Millis kProbeTimeout{220};
+// Pause after a probe that gave no sample of the watermark, while a read waits for one.
+constexpr Millis kProbeRetryPause{20};
 // Pause between two rounds of probes in the search for a primary; up to 60 ms are added at random.
 constexpr Millis kSearchPause{80};
 // As above, while a server is at its connection limit: frequent probes would compete with the
@@ -389,6 +391,10 @@
       co_await m_changed.WaitUntil([this] { return !m_probing; }, deadline);
     } else {
       co_await ProbePrimary();
+      if (!m_watermarks.PositionCovering(not_before)) {
+        // A probe fails without a wait if no link is free.
+        co_await Sleep(kProbeRetryPause);
+      }
     }
   }
 }
--- a/tests/unit/statement_runner_test.cc
+++ b/tests/unit/statement_runner_test.cc
@@ -271,5 +271,33 @@
   EXPECT_LE(CountRuns(0, "FETCH"), answered + 1);
 }
 
+// Guards against a process that answers nobody: a read needs a sample of the watermark, and all
+// links to the primary are leased, so that every probe fails without a wait.
+TEST_F(StatementRunnerTest, AReadWithoutALinkForAProbeLeavesTheThreadToOthers) {
+  constexpr Millis kReadTimeout{400};
+  ASSERT_TRUE(RunWrite("w1").ok());
+  int turns = 0;
+  m_gateway.Run([&]() -> asio::awaitable<void> {
+    const auto pool = m_gateway.group->endpoints().at(EndpointId("e0"))->pool;
+    const auto deadline = Clock::now() + kReadTimeout;
+    std::vector<LinkPool::Lease> held;
+    for (;;) {
+      auto lease = co_await pool->Acquire({}, LinkUse::kControl, deadline);
+      if (!lease) {
+        break;
+      }
+      held.push_back(std::move(*lease));
+    }
+    Spawn(m_gateway.io, [&turns]() -> asio::awaitable<void> {
+      for (;;) {
+        ++turns;
+        co_await Sleep(Millis(5));
+      }
+    });
+    co_await m_gateway.group->DetermineWatermark(BootClock::now(), Clock::now() + kReadTimeout);
+  });
+  EXPECT_GT(turns, 20);
+}
+
 }  // namespace
 }  // namespace cardamom::testing
