--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -32,8 +32,8 @@
 };
 
 // Proxies in front of one group. Rows of servers without a value stand for the entries of the fake
-// group; others are decoded as on the platform. If `direct_vms` is below their number, only some of them are homes
-// of the group.
+// group; others are decoded as on the platform. If `direct_vms` is below their number, only some of
+// them are homes of the group.
 class FakeFleet {
  public:
   // Starts `vms` proxies, spread over `domains` failure domains, and waits until all are ready, for
