--- a/src/directory/configuration.h
+++ b/src/directory/configuration.h
@@ -9,6 +9,7 @@
 
 #include "cardamom/strong.h"
 #include "core/clock.h"
+#include "organisation/organisation.h"
 #include "statement/statement.h"
 
 namespace cardamom {
@@ -35,6 +36,8 @@
   int priority = 0;
   // Greatest age of the data that reads may return.
   Millis max_staleness{0};
+  // Callers need no key.
+  bool is_public = true;
 };
 
 struct GroupSettings {
@@ -49,6 +52,10 @@
   std::uint64_t version = 0;
   std::map<DatabaseName, Route> routes;
   std::map<GroupId, GroupSettings> groups;
+  // Empty if the deployment has no organisations.
+  std::map<OrganisationName, Organisation> organisations;
+  // The organisation that holds each key.
+  std::map<ApiKey, OrganisationName> organisation_of_key;
   // A transaction that is idle for longer may be ended.
   Millis transaction_idle_limit{3000};
   // Longest wait for the first message of a session.
--- a/src/fleet/peer_codec.cc
+++ b/src/fleet/peer_codec.cc
@@ -45,6 +45,7 @@
   message.consistency = static_cast<int>(task.route.consistency);
   message.max_staleness_ms = task.route.max_staleness.count();
   message.priority = task.route.priority;
+  message.organisation = task.organisation.value();
   return message;
 }
 
@@ -86,6 +87,7 @@
   in.received = now - Millis(message.spent_ms);
   in.first_byte_at = boot_now - std::chrono::microseconds(message.age_us);
   in.deadline = now + Millis(message.left_ms);
+  in.organisation = OrganisationName(message.organisation);
   return in;
 }
 
@@ -107,7 +109,7 @@
   reply.rows = std::move(message.rows);
   reply.signature = std::move(message.signature);
   if (message.error) {
-    const auto code = IsValidEnumValue(*message.error, StatementError::kUnrecognized)
+    const auto code = IsValidEnumValue(*message.error, StatementError::kDenied)
                           ? static_cast<StatementError>(*message.error)
                           : StatementError::kUnrecognized;
     reply.error = ReplyError{code, std::move(message.error_text)};
--- a/src/fleet/peer_codec.h
+++ b/src/fleet/peer_codec.h
@@ -18,10 +18,11 @@
   TimePoint received;
   BootTime first_byte_at;
   TimePoint deadline;
+  OrganisationName organisation;
 
   // The task refers to this object, which must outlive it.
   StatementTask ToTask() const {
-    return {statement, caller, route, received, first_byte_at, deadline};
+    return {statement, caller, route, received, first_byte_at, deadline, organisation};
   }
 };
 
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -61,6 +61,8 @@
   bool may_wait = true;
   // Id of an open transaction at this home.
   std::string transaction;
+  // The organisation on whose behalf the statement runs; empty if none.
+  std::string organisation;
 };
 BOOST_DESCRIBE_STRUCT(PeerStatement,
                       (),
@@ -85,7 +87,8 @@
                        left_ms,
                        read_only,
                        may_wait,
-                       transaction))
+                       transaction,
+                       organisation))
 
 // The answer to a statement.
 struct PeerReply {
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -14,11 +14,13 @@
 CallerSession::CallerSession(GatewayContext& context,
                              const Directory& directory,
                              const PathFinder& find_path,
-                             DatabaseName database)
+                             DatabaseName database,
+                             ApiKey key)
     : m_context(context),
       m_directory(directory),
       m_find_path(find_path),
-      m_database(std::move(database)) {}
+      m_database(std::move(database)),
+      m_key(std::move(key)) {}
 
 StatementTask CallerSession::TaskFor(const Statement& statement, const Route& route) const {
   // Within a transaction the allowed staleness of reads is measured from its start.
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -17,7 +17,8 @@
   CallerSession(GatewayContext& context,
                 const Directory& directory,
                 const PathFinder& find_path,
-                DatabaseName database);
+                DatabaseName database,
+                ApiKey key);
 
   // Executes one statement and returns its reply. Errors are reported in the reply. Precondition:
   // no other statement of this session is in progress.
@@ -73,6 +74,7 @@
   const Directory& m_directory;
   const PathFinder& m_find_path;
   const DatabaseName m_database;
+  const ApiKey m_key;
   CallerState m_caller;
   SessionState m_state = SessionState::kIdle;
   bool m_read_only = false;
--- a/src/gateway/session_registry.cc
+++ b/src/gateway/session_registry.cc
@@ -17,7 +17,8 @@
                                  PathFinder find_path)
     : m_context(context), m_directory(directory), m_find_path(std::move(find_path)) {}
 
-asio::awaitable<SessionRegistry::OpenResult> SessionRegistry::Open(DatabaseName database) {
+asio::awaitable<SessionRegistry::OpenResult> SessionRegistry::Open(DatabaseName database,
+                                                                   ApiKey key) {
   if (!m_directory.IsLoaded() &&
       !co_await m_directory.WaitUntilLoaded(Clock::now() + kOpenTimeout)) {
     co_return ReplyError{StatementError::kBusy, "the configuration is not known yet"};
@@ -28,8 +29,8 @@
                                      std::to_string(m_directory.configuration().version)});
     co_return ReplyError{StatementError::kUnknownDatabase, database.value()};
   }
-  auto session =
-      std::make_shared<CallerSession>(m_context, m_directory, m_find_path, std::move(database));
+  auto session = std::make_shared<CallerSession>(m_context, m_directory, m_find_path,
+                                                 std::move(database), std::move(key));
   if (m_latest_answer) {
     session->SetLatestAnswer(*m_latest_answer);
   }
--- a/src/gateway/session_registry.h
+++ b/src/gateway/session_registry.h
@@ -20,7 +20,7 @@
   using OpenResult = std::variant<std::shared_ptr<CallerSession>, ReplyError>;
   // Opens a session. Waits up to 1.5 s for the first configuration. Errors: kBusy if none has been
   // loaded in that time, kUnknownDatabase.
-  asio::awaitable<OpenResult> Open(DatabaseName database);
+  asio::awaitable<OpenResult> Open(DatabaseName database, ApiKey key = {});
   // Removes a session whose connection has ended and rolls back its transaction.
   asio::awaitable<void> Close(std::shared_ptr<CallerSession> session);
 
--- a/src/gateway/statement_task.h
+++ b/src/gateway/statement_task.h
@@ -19,6 +19,8 @@
   // or of the BEGIN of its transaction.
   BootTime first_byte_at;
   TimePoint deadline;
+  // The organisation on whose behalf the statement runs; empty on public routes.
+  OrganisationName organisation;
 };
 
 }  // namespace cardamom
--- a/src/pool/link_pool.cc
+++ b/src/pool/link_pool.cc
@@ -127,7 +127,7 @@
 asio::awaitable<Outcome<LinkPool::Lease>> LinkPool::Open(TimePoint deadline) {
   const auto self = shared_from_this();
   ++m_opening_links;
-  auto link = co_await m_opener(m_entry, deadline);
+  auto link = co_await m_opener(m_entry, OrganisationName(), deadline);
   --m_opening_links;
   if (!link) {
     --m_open_links;
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
 
 #include <fmt/ranges.h>
 #include <boost/leaf/error.hpp>
@@ -35,6 +36,14 @@
                          "Time after an outage of the store for which missing endpoints are kept."},
     GatewayNumberSetting{"config-apply-ms", &S::config_apply_ms, 3000, 500, 3'600'000, "ms",
                          "Time within which an accepted configuration is in force."},
+    GatewayNumberSetting{"revoke-ms", &S::revoke_ms, 0, 0, 3'600'000, "ms",
+                         "Time after which a withdrawn key is refused everywhere; 0: no bound."},
+    GatewayNumberSetting{"quota-window-ms", &S::quota_window_ms, 5000, 100, 3'600'000, "ms",
+                         "Span of time over which an organisation's quota is measured."},
+    GatewayNumberSetting{"quota-slack", &S::quota_slack, 0, 0, 1'000'000, "operations",
+                         "Operations in a window by which usage may exceed a quota."},
+    GatewayNumberSetting{"memory-mb", &S::memory_mb, 512, 16, 1'000'000, "MB",
+                         "Memory of this VM, from which the limits on buffers follow."},
     GatewayNumberSetting{
         "direct-vms", &S::direct_vms, 32, 1, 100'000, "VMs",
         "Up to so many proxies hold connections of their own; a larger fleet has homes."},
@@ -61,6 +70,8 @@
     GatewayTextSetting{
         "capacity", &S::capacity_text, "1", false,
         "Processor share of this VM; a VM with more of it is a home of more groups."},
+    GatewayTextSetting{"quota-overshoot", &S::quota_overshoot_text, "0", false,
+                       "Share, from 0 to 1, by which usage may exceed a quota."},
     GatewayTextSetting{"log-format", &S::log_format, "json", false, "text or json."},
     GatewayTextSetting{"log-level", &S::log_level, "info", false, "debug, info, warn or error."},
 };
@@ -75,13 +86,21 @@
   }
 }
 
+std::optional<double> ParseNumber(const std::string& text) {
+  double value = 0;
+  const auto* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, value);
+  return read.ec == std::errc() && read.ptr == end ? std::optional(value) : std::nullopt;
+}
+
 }  // namespace
 
 double GatewaySettings::capacity() const {
-  double value = 0;
-  const auto* end = capacity_text.data() + capacity_text.size();
-  const auto read = std::from_chars(capacity_text.data(), end, value);
-  return read.ec == std::errc() && read.ptr == end ? value : 0;
+  return ParseNumber(capacity_text).value_or(0);
+}
+
+double GatewaySettings::quota_overshoot() const {
+  return ParseNumber(quota_overshoot_text).value_or(-1);
 }
 
 std::span<const GatewayNumberSetting> GatewayNumberSettings() {
@@ -104,6 +123,11 @@
   if (settings.capacity() <= 0) {
     problems.push_back(fmt::format("capacity: '{}' is no positive number", settings.capacity_text));
   }
+  const double overshoot = settings.quota_overshoot();
+  if (!(overshoot >= 0 && overshoot <= 1)) {
+    problems.push_back(fmt::format("quota-overshoot: '{}' is no number from 0 to 1",
+                                   settings.quota_overshoot_text));
+  }
   if (settings.stop_notice_ms > settings.stop_limit_ms) {
     problems.emplace_back("stop-notice-ms: exceeds stop-limit-ms");
   }
@@ -123,7 +147,7 @@
     }
     const bool is_fixed_at_start = number.member == &S::event_ring ||
                                    number.member == &S::log_queue_kb ||
-                                   number.member == &S::max_files;
+                                   number.member == &S::max_files || number.member == &S::memory_mb;
     (is_fixed_at_start ? needs_restart_names : changed_names) += fmt::format(" {}", number.name);
     if (!is_fixed_at_start) {
       this->*number.member = reloaded.*number.member;
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -37,10 +37,17 @@
   std::int64_t list_return_ms = 0;
   std::int64_t direct_vms = 32;
   std::int64_t config_apply_ms = 3000;
+  std::int64_t revoke_ms = 0;
+  std::int64_t quota_window_ms = 5000;
+  std::int64_t quota_slack = 0;
+  std::int64_t memory_mb = 512;
+  std::string quota_overshoot_text = "0";
 
   // Processor share of this VM: positive in settings that Read returns, 0 if capacity_text is no
   // number.
   double capacity() const;
+  // Share by which usage may exceed a cap: 0 to 1 in settings that Read returns.
+  double quota_overshoot() const;
 
   // Reads each setting as ReadSettings does, from flags, environment, settings file or default, and
   // checks the values. Errors: kBadSetting; its detail lists all problems found. Thread safe.
@@ -48,8 +55,9 @@
                                           const SettingsEnvironment& environment);
 
   // Copies from `reloaded` the settings that can change while the process runs: the log level and
-  // all numbers except event-ring, log-queue-kb and max-files. Returns a text with the names of the
-  // settings that changed and of those that differ but need a restart. Not thread safe.
+  // all numbers except event-ring, log-queue-kb, max-files and memory-mb. Returns a text with the
+  // names of the settings that changed and of those that differ but need a restart. Not thread
+  // safe.
   std::string ApplyReload(const GatewaySettings& reloaded);
 };
 
--- a/src/statement/endpoint_link.h
+++ b/src/statement/endpoint_link.h
@@ -12,6 +12,7 @@
 #include "cardamom/error.h"
 #include "core/clock.h"
 #include "directory/endpoint_entry.h"
+#include "organisation/organisation.h"
 #include "statement/statement.h"
 
 namespace cardamom {
@@ -99,11 +100,13 @@
   virtual void Close() = 0;
 };
 
-// Opens a link. Errors: kConnectionRefused, kTransport, kNoAnswer, kOverloaded (the server is alive
-// but at its connection limit, or too busy to complete the handshake) and kBadAnswer (another
-// server answers at that address), all with Ran::kNo.
-using LinkOpener =
-    std::function<asio::awaitable<Outcome<std::unique_ptr<EndpointLink>>>(EndpointEntry entry,
-                                                                          TimePoint deadline)>;
+// Opens a link that serves one organisation for its life, or none if `organisation` is empty.
+// Errors: kConnectionRefused, kTransport, kNoAnswer, kOverloaded (the server is alive but at its
+// connection limit, or too busy to complete the handshake) and kBadAnswer (another server answers
+// at that address), all with Ran::kNo.
+using LinkOpener = std::function<asio::awaitable<Outcome<std::unique_ptr<EndpointLink>>>(
+    EndpointEntry entry,
+    OrganisationName organisation,
+    TimePoint deadline)>;
 
 }  // namespace cardamom
--- a/src/statement/statement.cc
+++ b/src/statement/statement.cc
@@ -32,6 +32,8 @@
       return "unknown_database";
     case StatementError::kUnrecognized:
       return "unrecognized";
+    case StatementError::kDenied:
+      return "denied";
   }
   return "unrecognized";
 }
--- a/src/statement/statement.h
+++ b/src/statement/statement.h
@@ -75,6 +75,8 @@
   kUnknownDatabase,
   // A code that this program does not define; handled as kFailed.
   kUnrecognized,
+  // The caller's key is unknown or was withdrawn; nothing ran.
+  kDenied,
 };
 
 // Lower-case name of `error` for logs and metrics. Thread safe.
--- a/tests/unit/fleet_fakes.cc
+++ b/tests/unit/fleet_fakes.cc
@@ -44,13 +44,13 @@
 
 LinkOpener PartitionableOpener(const FakeVm& vm, LinkOpener open) {
   return
-      [&vm, open](EndpointEntry entry,
+      [&vm, open](EndpointEntry entry, OrganisationName organisation,
                   TimePoint deadline) -> asio::awaitable<Outcome<std::unique_ptr<EndpointLink>>> {
         if (vm.unreachable_servers.contains(entry.id)) {
           co_await Sleep(deadline - Clock::now());
           co_return Error{ResultCode::kNoAnswer, "cut off", Ran::kNo};
         }
-        auto link = co_await open(entry, deadline);
+        auto link = co_await open(entry, organisation, deadline);
         if (!link) {
           co_return link.error();
         }
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -401,7 +401,8 @@
   route.max_staleness = Millis(*rc::gen::inRange(0, 5000));
   const auto now = Clock::now();
   const auto boot = BootClock::now();
-  const StatementTask task{statement, caller, route, now, boot, now + Millis(100)};
+  const OrganisationName organisation(*rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
+  const StatementTask task{statement, caller, route, now, boot, now + Millis(100), organisation};
   auto message = ToMessage(PeerOperation::kWrite, route.group, task);
   message.left_ms = 80;
   message.age_us = 3000;
@@ -416,6 +417,7 @@
   RC_ASSERT(in->caller.values == caller.values);
   RC_ASSERT(in->caller.prepared.at("n").shape == "shape");
   RC_ASSERT(in->caller.committed == caller.committed);
+  RC_ASSERT(in->organisation == organisation);
   RC_ASSERT(in->route.consistency == route.consistency);
   RC_ASSERT(in->route.max_staleness == route.max_staleness);
   RC_ASSERT(in->deadline - now == Millis(80));
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -245,7 +245,7 @@
 }
 
 LinkOpener FakeGroup::Opener() {
-  return [this](EndpointEntry entry, TimePoint deadline) {
+  return [this](EndpointEntry entry, const OrganisationName&, TimePoint deadline) {
     return OpenFake(*this, std::move(entry), deadline);
   };
 }
--- a/tests/unit/link_pool_test.cc
+++ b/tests/unit/link_pool_test.cc
@@ -15,14 +15,14 @@
   SlowOpener(FakeGroup& group, Millis time) : m_open(group.Opener()), m_time(time) {}
 
   LinkOpener Opener() {
-    return [this](EndpointEntry entry,
+    return [this](EndpointEntry entry, OrganisationName organisation,
                   TimePoint deadline) -> asio::awaitable<Outcome<std::unique_ptr<EndpointLink>>> {
       ++m_opening;
       max_concurrent_opens = std::max(max_concurrent_opens, m_opening);
       ++opened;
       co_await Sleep(m_time);
       --m_opening;
-      co_return co_await m_open(entry, deadline);
+      co_return co_await m_open(entry, organisation, deadline);
     };
   }
 
