Gateway: split the statement runner by responsibility

Cause: statement_runner.cc had 660 lines; links of organisations would make it longer.

Change: the statements of transactions are in transaction_statements.cc, replies and records of outcomes in statement_outcome, time limits in statement_limits, the result of an attempt in statement_attempt.h. No behaviour changes.

--- /dev/null
+++ b/src/gateway/statement_attempt.h
@@ -0,0 +1,27 @@
+// The result of one attempt to run a statement at one server.
+#pragma once
+
+#include <string>
+
+#include "statement/statement.h"
+
+namespace cardamom {
+
+// A value type.
+struct StatementAttempt {
+  enum class Status {
+    // `reply` is the server's reply to the statement.
+    kAnswered,
+    // The statement did not run or had no effect.
+    kNotRun,
+    // The statement may have run.
+    kUnknown,
+  };
+  Status status = Status::kNotRun;
+  Reply reply;
+  std::string reason;
+  // The server refused the statement because its queue was full.
+  bool busy = false;
+};
+
+}  // namespace cardamom
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -3,92 +3,12 @@
 #include <algorithm>
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include "async/notifier.h"
-#include "async/spawn.h"
+#include "gateway/statement_limits.h"
 
 namespace cardamom {
 
-namespace {
-
-// A read is retried at another server after this fraction of its time limit without an answer.
-constexpr double kReadAttemptFraction = 0.45;
-// A statement waits for a primary for this fraction of its time limit. It is refused after that, so
-// that the caller still has time to retry.
-constexpr double kPrimaryWaitFraction = 0.6;
-constexpr int kMaxAttempts = 4;
-constexpr Millis kRollbackTimeout{300};
-// Delay before a retry at a server whose queue was full, multiplied by the number of attempts so
-// far.
-constexpr Millis kBusyPause{30};
-constexpr int kMaxBusyRetries = 2;
-// A statement is not sent if the reply is expected only after the deadline: kReserveFactor times
-// the server's expected latency is reserved, but at most this fraction of the statement's time
-// limit.
-constexpr double kMaxReservedFraction = 0.4;
-constexpr int kReserveFactor = 2;
-// A commit that has had no answer for this long is reported as overdue.
-constexpr Millis kCommitOverdue{600};
-// Retry delay that is suggested to a refused caller; the second one if the primary has been
-// unavailable for longer than a takeover takes. Jitter of up to half the delay is added, so that
-// callers do not retry all at once.
-constexpr Millis kRetryHint{150};
-constexpr Millis kRetryHintNoPrimary{1000};
-
-// A request of the proxy itself, without a caller's statement.
-EndpointRequest OwnRequest(EndpointOperation operation) {
-  EndpointRequest request;
-  request.operation = operation;
-  return request;
-}
-
-// The time at which `part` of the statement's time limit has passed.
-TimePoint FractionDeadline(const StatementTask& task, double part) {
-  const auto span = std::chrono::duration_cast<Duration>((task.deadline - task.received_at) * part);
-  return std::min(task.deadline, task.received_at + span);
-}
-
-// Until when a statement may be queued for `endpoint` and still be sent.
-TimePoint LatestSendTime(const StatementTask& task, const Endpoint& endpoint, TimePoint deadline) {
-  const auto expected = endpoint.latency.ExpectedLatency(Clock::now()) * kReserveFactor;
-  const auto max_reserved = std::chrono::duration_cast<Duration>(
-      (task.deadline - task.received_at) * kMaxReservedFraction);
-  return std::min(deadline, task.deadline - std::min(expected, max_reserved));
-}
-
-// The suggested retry delay. The jitter is a hash of the request id.
-Millis RetryHint(const GroupClient& group, const StatementTask& task) {
-  const auto limit = group.PrimaryWaitDeadline();
-  const auto least = limit && Clock::now() >= *limit ? kRetryHintNoPrimary : kRetryHint;
-  const auto& id = task.statement.id.value();
-  const auto spread = static_cast<std::uint64_t>(least.count()) / 2;
-  return least + Millis(static_cast<std::int64_t>(XXH3_64bits(id.data(), id.size()) % spread));
-}
-
-std::string ToText(const std::optional<Position>& position) {
-  return position ? fmt::format("{}.{}", position->term.value(), position->index.value()) : "-";
-}
-
-}  // namespace
-
-// The result of one attempt to run a statement at one server.
-struct StatementRunner::Attempt {
-  enum class Status {
-    // `reply` is the server's reply to the statement.
-    kAnswered,
-    // The statement did not run or had no effect.
-    kNotRun,
-    // The statement may have run.
-    kUnknown,
-  };
-  Status status = Status::kNotRun;
-  Reply reply;
-  std::string reason;
-  // The server refused the statement because its queue was full.
-  bool busy = false;
-};
-
 asio::awaitable<std::optional<Position>> StatementRunner::NeededPosition(
     GroupClient& group,
     const StatementTask& task) {
@@ -105,12 +25,12 @@
   co_return needed;
 }
 
-asio::awaitable<StatementRunner::Attempt> StatementRunner::ReadAt(GroupClient& group,
-                                                                  GroupClient::EndpointPtr endpoint,
-                                                                  std::optional<Position> after,
-                                                                  const StatementTask& task,
-                                                                  TimePoint deadline) {
-  Attempt attempt;
+asio::awaitable<StatementAttempt> StatementRunner::ReadAt(GroupClient& group,
+                                                          GroupClient::EndpointPtr endpoint,
+                                                          std::optional<Position> after,
+                                                          const StatementTask& task,
+                                                          TimePoint deadline) {
+  StatementAttempt attempt;
   const OutstandingCount counted(endpoint);
   // Reads that only the primary may answer have priority over reads that a replica may answer.
   const auto priority =
@@ -183,7 +103,7 @@
     if (!at_primary && reply.position) {
       group.OnReplicaAnswer(endpoint, *reply.position);
     }
-    attempt.status = Attempt::Status::kAnswered;
+    attempt.status = StatementAttempt::Status::kAnswered;
     attempt.reply = reply;
     attempt.reply.state = SessionState::kIdle;
     co_return attempt;
@@ -238,9 +158,9 @@
                                                              (task.deadline - task.received_at) *
                                                              kReadAttemptFraction));
     auto attempt = co_await ReadAt(*group, endpoint, after, task, deadline);
-    if (attempt.status == Attempt::Status::kAnswered) {
+    if (attempt.status == StatementAttempt::Status::kAnswered) {
       m_context.metrics.CountRead(at_primary ? "primary" : "replica");
-      LogAnswer(*group, task, *endpoint, after, attempt.reply);
+      m_outcome.LogAnswer(*group, task, *endpoint, after, attempt.reply);
       co_return attempt.reply;
     }
     reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
@@ -253,14 +173,13 @@
       tried.push_back(endpoint->entry.id);
     }
   }
-  co_return MakeRefusal(*group, task, reason);
+  co_return m_outcome.MakeRefusal(*group, task, reason);
 }
 
-asio::awaitable<StatementRunner::Attempt> StatementRunner::WriteAt(
-    GroupClient& group,
-    GroupClient::EndpointPtr endpoint,
-    const StatementTask& task) {
-  Attempt attempt;
+asio::awaitable<StatementAttempt> StatementRunner::WriteAt(GroupClient& group,
+                                                           GroupClient::EndpointPtr endpoint,
+                                                           const StatementTask& task) {
+  StatementAttempt attempt;
   const OutstandingCount counted(endpoint);
   auto permit = co_await endpoint->admission->Acquire(Priority::kWrite,
                                                       FractionDeadline(task, kPrimaryWaitFraction));
@@ -301,8 +220,8 @@
     if (now - sent_at > kCommitOverdue) {
       group.OnCommitOverdue(sent_at);
     }
-    attempt.status =
-        answer.failure->ran == Ran::kNo ? Attempt::Status::kNotRun : Attempt::Status::kUnknown;
+    attempt.status = answer.failure->ran == Ran::kNo ? StatementAttempt::Status::kNotRun
+                                                     : StatementAttempt::Status::kUnknown;
     attempt.reason = answer.failure->detail;
     co_return attempt;
   }
@@ -325,7 +244,8 @@
     group.OnPrimaryAnswer(endpoint, asked_at, *reply.position);
     group.OnCommitAcknowledged(*reply.position);
   }
-  attempt.status = reply.ok() ? Attempt::Status::kAnswered : Attempt::Status::kUnknown;
+  attempt.status =
+      reply.ok() ? StatementAttempt::Status::kAnswered : StatementAttempt::Status::kUnknown;
   attempt.reason = reply.ok() ? "" : std::string(ToString(reply.error->code));
   attempt.reply = reply;
   attempt.reply.state = SessionState::kIdle;
@@ -343,12 +263,12 @@
     }
     auto attempt = co_await WriteAt(*group, endpoint, task);
     switch (attempt.status) {
-      case Attempt::Status::kAnswered:
-        LogAnswer(*group, task, *endpoint, std::nullopt, attempt.reply);
+      case StatementAttempt::Status::kAnswered:
+        m_outcome.LogAnswer(*group, task, *endpoint, std::nullopt, attempt.reply);
         co_return attempt.reply;
-      case Attempt::Status::kUnknown:
-        co_return MakeUnknownReply(*group, task, attempt.reason);
-      case Attempt::Status::kNotRun:
+      case StatementAttempt::Status::kUnknown:
+        co_return m_outcome.MakeUnknownReply(*group, task, attempt.reason);
+      case StatementAttempt::Status::kNotRun:
         reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
         break;
     }
@@ -362,299 +282,7 @@
       break;
     }
   }
-  co_return MakeRefusal(*group, task, reason);
-}
-
-asio::awaitable<StatementRunner::Attempt> StatementRunner::RunBatch(const StatementTask& task,
-                                                                    StatementBatch batch,
-                                                                    TransactionPin& pin) {
-  Attempt attempt;
-  const auto asked_at = BootClock::now();
-  const auto sent_at = Clock::now();
-  const auto answer = co_await pin.lease->link->Run(batch.requests, task.deadline);
-  const auto now = Clock::now();
-  if (answer.failure) {
-    pin.lease.Discard();
-    pin.endpoint->latency.OnFailure(now - sent_at, now);
-    pin.group->OnStatementFailure(pin.endpoint, *answer.failure);
-    attempt.status =
-        answer.failure->ran == Ran::kNo ? Attempt::Status::kNotRun : Attempt::Status::kUnknown;
-    attempt.reason = answer.failure->detail;
-    co_return attempt;
-  }
-  if (!UpdateLinkState(batch, answer, *pin.lease)) {
-    pin.lease.Discard();
-    attempt.reason = "the session's values were refused";
-    co_return attempt;
-  }
-  if (batch.begin_index) {
-    const auto& begun = answer.replies[*batch.begin_index].reply;
-    if (!begun.ok()) {
-      attempt.reason = std::string(ToString(begun.error->code));
-      pin.lease.Discard();
-      if (begun.error->code == StatementError::kReadOnly && pin.at_primary) {
-        pin.group->OnNotPrimary(pin.endpoint);
-      } else if (begun.error->code == StatementError::kLagging &&
-                 batch.requests[*batch.begin_index].min_position) {
-        pin.group->OnReplicaBehind(pin.endpoint, *batch.requests[*batch.begin_index].min_position);
-      }
-      co_return attempt;
-    }
-    if (pin.at_primary && begun.position) {
-      pin.group->OnPrimaryAnswer(pin.endpoint, asked_at, *begun.position);
-    }
-  }
-  attempt.status = Attempt::Status::kAnswered;
-  if (!batch.statement_index) {
-    co_return attempt;
-  }
-  attempt.reply = answer.replies[*batch.statement_index].reply;
-  if (attempt.reply.ok()) {
-    pin.endpoint->latency.OnResponse(now - sent_at, now);
-    if (!pin.at_primary && attempt.reply.position) {
-      pin.group->OnReplicaAnswer(pin.endpoint, *attempt.reply.position);
-    }
-  } else if (attempt.reply.error->code == StatementError::kReadOnly && pin.at_primary) {
-    pin.group->OnNotPrimary(pin.endpoint);
-  }
-  co_return attempt;
-}
-
-asio::awaitable<StatementRunner::Attempt> StatementRunner::OpenAt(GroupClient& group,
-                                                                  GroupClient::EndpointPtr endpoint,
-                                                                  std::optional<Position> after,
-                                                                  const StatementTask& task,
-                                                                  bool read_only,
-                                                                  TimePoint deadline,
-                                                                  TransactionPin& pin) {
-  Attempt attempt;
-  auto permit = co_await endpoint->admission->Acquire(Priority::kWrite, deadline);
-  if (!permit) {
-    attempt.reason = permit.error().detail;
-    co_return attempt;
-  }
-  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, deadline);
-  if (!lease) {
-    attempt.reason = lease.error().detail;
-    group.OnLinkFailure(endpoint, lease.error());
-    co_return attempt;
-  }
-  pin.endpoint = endpoint;
-  pin.lease = std::move(*lease);
-  pin.at_primary = !after.has_value();
-  pin.may_have_written = false;
-  auto batch = BuildSetupBatch(*pin.lease, task.caller, nullptr, false);
-  batch.begin_index = batch.requests.size();
-  auto begin = OwnRequest(read_only && !pin.at_primary ? EndpointOperation::kBeginReadOnly
-                                                       : EndpointOperation::kBegin);
-  begin.min_position = after;
-  batch.requests.push_back(std::move(begin));
-  attempt = co_await RunBatch(task, std::move(batch), pin);
-  if (attempt.status != Attempt::Status::kAnswered) {
-    co_return attempt;
-  }
-  // The statement is sent only after the begin has succeeded. In the same batch as a refused begin
-  // it would run outside any transaction.
-  auto first = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
-  first.statement_index = first.requests.size();
-  first.requests.push_back(ToRequest(task.statement, task.caller));
-  pin.may_have_written = AccessOf(task.statement, task.caller) == Access::kWrite;
-  attempt = co_await RunBatch(task, std::move(first), pin);
-  if (attempt.status == Attempt::Status::kAnswered && !attempt.reply.ok() &&
-      attempt.reply.error->code == StatementError::kBusy) {
-    permit->OnOverload();
-    attempt.busy = true;
-  }
-  co_return attempt;
-}
-
-asio::awaitable<Reply> StatementRunner::RunFirst(std::shared_ptr<GroupClient> group,
-                                                 StatementTask task,
-                                                 bool read_only,
-                                                 TransactionPin& pin) {
-  pin.group = group;
-  std::vector<EndpointId> tried;
-  std::string reason = "no server";
-  std::optional<Position> needed;
-  if (read_only) {
-    needed = co_await NeededPosition(*group, task);
-  }
-  const bool commits = task.statement.kind == StatementKind::kCommit;
-  for (int i = 0; i < kMaxAttempts && Clock::now() < task.deadline; ++i) {
-    GroupClient::EndpointPtr endpoint;
-    if (needed) {
-      const auto servers = group->ServersForRead(needed, tried);
-      const auto free = std::find_if(servers.begin(), servers.end(), [](const auto& server) {
-        return server->pool->CanAcquireAtOnce();
-      });
-      endpoint = free != servers.end() ? *free : servers.empty() ? nullptr : servers.front();
-    } else {
-      endpoint = co_await group->WaitForPrimary(FractionDeadline(task, kPrimaryWaitFraction));
-    }
-    if (!endpoint) {
-      break;
-    }
-    const bool at_primary = !needed || group->primary_id() == endpoint->entry.id;
-    const auto after = at_primary ? std::nullopt : needed;
-    auto attempt = co_await OpenAt(*group, endpoint, after, task, read_only,
-                                   FractionDeadline(task, kPrimaryWaitFraction), pin);
-    if (attempt.status == Attempt::Status::kAnswered && attempt.reply.ok()) {
-      LogAnswer(*group, task, *endpoint, after, attempt.reply);
-      if (commits) {
-        pin.lease.Release();
-      }
-      co_return attempt.reply;
-    }
-    if (attempt.status == Attempt::Status::kAnswered) {
-      attempt.reason = std::string(ToString(attempt.reply.error->code));
-    }
-    // Nothing was committed: everything that ran is rolled back with the transaction.
-    if (pin.IsOpen()) {
-      co_await Rollback(pin);
-    }
-    reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
-    if (attempt.busy && !needed) {
-      // The statement did not run and its transaction is rolled back, so both may be retried.
-      if (i >= kMaxBusyRetries) {
-        break;
-      }
-      co_await Sleep(kBusyPause * (i + 1));
-    } else if (needed) {
-      tried.push_back(endpoint->entry.id);
-    } else if (attempt.status != Attempt::Status::kNotRun) {
-      break;
-    }
-  }
-  auto refusal = MakeRefusal(*group, task, reason);
-  refusal.state = commits ? SessionState::kIdle : SessionState::kFailed;
-  co_return refusal;
-}
-
-asio::awaitable<Reply> StatementRunner::RunNext(StatementTask task, TransactionPin& pin) {
-  const OutstandingCount counted(pin.endpoint);
-  auto batch = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
-  batch.statement_index = batch.requests.size();
-  batch.requests.push_back(ToRequest(task.statement, task.caller));
-  if (AccessOf(task.statement, task.caller) == Access::kWrite) {
-    pin.may_have_written = true;
-  }
-  const auto endpoint = pin.endpoint;
-  auto attempt = co_await RunBatch(task, std::move(batch), pin);
-  if (attempt.status == Attempt::Status::kAnswered && attempt.reply.ok()) {
-    LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
-    co_return attempt.reply;
-  }
-  if (pin.IsOpen()) {
-    co_await Rollback(pin);
-  }
-  // Without a commit the transaction has no effect, whether or not the statement ran.
-  const auto reason = attempt.status == Attempt::Status::kAnswered
-                          ? std::string(ToString(attempt.reply.error->code))
-                          : attempt.reason;
-  auto reply = MakeRefusal(*pin.group, task, reason + " at " + endpoint->entry.id.value());
-  reply.error->code = StatementError::kAborted;
-  reply.state = SessionState::kFailed;
-  co_return reply;
-}
-
-asio::awaitable<Reply> StatementRunner::Commit(StatementTask task, TransactionPin& pin) {
-  const auto endpoint = pin.endpoint;
-  const OutstandingCount counted(endpoint);
-  StatementBatch batch;
-  batch.values_after = pin.lease->values;
-  batch.prepared_after = pin.lease->prepared;
-  batch.statement_index = 0;
-  batch.requests.push_back(ToRequest(task.statement, task.caller));
-  const auto asked_at = BootClock::now();
-  const auto sent_at = Clock::now();
-  auto attempt = co_await RunBatch(task, std::move(batch), pin);
-  if (attempt.status == Attempt::Status::kAnswered && attempt.reply.ok()) {
-    if (pin.may_have_written && attempt.reply.position) {
-      pin.group->OnPrimaryAnswer(endpoint, asked_at, *attempt.reply.position);
-      pin.group->OnCommitAcknowledged(*attempt.reply.position);
-    }
-    if (attempt.reply.state == SessionState::kIdle) {
-      pin.lease.Release();
-    } else {
-      pin.lease.Discard();
-    }
-    attempt.reply.state = SessionState::kIdle;
-    LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
-    co_return attempt.reply;
-  }
-  const bool refused =
-      attempt.status == Attempt::Status::kAnswered && GuaranteesNotRun(attempt.reply.error->code);
-  if (attempt.status == Attempt::Status::kAnswered) {
-    attempt.reason = std::string(ToString(attempt.reply.error->code));
-  }
-  if (Clock::now() - sent_at > kCommitOverdue) {
-    pin.group->OnCommitOverdue(sent_at);
-  }
-  if (pin.IsOpen()) {
-    co_await Rollback(pin);
-  }
-  if (refused || !pin.may_have_written || attempt.status == Attempt::Status::kNotRun) {
-    auto reply =
-        MakeRefusal(*pin.group, task, attempt.reason + " at " + endpoint->entry.id.value());
-    reply.error->code = StatementError::kAborted;
-    co_return reply;
-  }
-  co_return MakeUnknownReply(*pin.group, task, attempt.reason);
-}
-
-asio::awaitable<void> StatementRunner::Rollback(TransactionPin& pin) {
-  auto lease = std::move(pin.lease);
-  std::vector<EndpointRequest> requests{OwnRequest(EndpointOperation::kRollback)};
-  const auto answer =
-      co_await lease->link->Run(std::move(requests), Clock::now() + kRollbackTimeout);
-  if (answer.failure || !answer.replies.front().reply.ok() ||
-      answer.replies.front().reply.state != SessionState::kIdle) {
-    lease.Discard();
-  }
-}
-
-Reply StatementRunner::MakeRefusal(const GroupClient& group,
-                                   const StatementTask& task,
-                                   const std::string& reason) {
-  const auto waited = ToMillis(Clock::now() - task.received_at);
-  m_context.metrics.CountStatement("refused", Clock::now() - task.received_at);
-  m_context.events.Emit(
-      EventCode::kStatementRefused,
-      {.group = group.id(),
-       .request = task.statement.id.value(),
-       .detail = fmt::format("{} after {} ms; primary {}; {}", reason, waited.count(),
-                             group.primary_id() ? group.primary_id()->value() : "unknown",
-                             group.health().failing_since ? "failing" : "well")});
-  return ErrorReply(StatementError::kBusy,
-                    fmt::format("{}; retry after {} ms", reason, RetryHint(group, task).count()),
-                    SessionState::kIdle);
-}
-
-Reply StatementRunner::MakeUnknownReply(const GroupClient& group,
-                                        const StatementTask& task,
-                                        const std::string& reason) {
-  m_context.metrics.CountStatement("unknown", Clock::now() - task.received_at);
-  m_context.events.Emit(EventCode::kOutcomeUnknown,
-                        {.group = group.id(),
-                         .request = task.statement.id.value(),
-                         .detail = fmt::format("{} after {} ms", reason,
-                                               ToMillis(Clock::now() - task.received_at).count())});
-  return ErrorReply(StatementError::kInDoubt, reason, SessionState::kIdle);
-}
-
-void StatementRunner::LogAnswer(const GroupClient& group,
-                                const StatementTask& task,
-                                const Endpoint& endpoint,
-                                std::optional<Position> after,
-                                const Reply& reply) {
-  const auto taken = Clock::now() - task.received_at;
-  m_context.metrics.CountStatement("answered", taken);
-  m_context.events.Emit(EventCode::kStatementAnswered,
-                        {.group = group.id(),
-                         .endpoint = endpoint.entry.id,
-                         .request = task.statement.id.value(),
-                         .detail = fmt::format("after {} at {} in {} ms", ToText(after),
-                                               ToText(reply.position), ToMillis(taken).count())});
+  co_return m_outcome.MakeRefusal(*group, task, reason);
 }
 
 }  // namespace cardamom
--- a/src/gateway/statement_runner.h
+++ b/src/gateway/statement_runner.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "gateway/group_client.h"
+#include "gateway/statement_attempt.h"
 #include "gateway/statement_batch.h"
+#include "gateway/statement_outcome.h"
 #include "gateway/statement_task.h"
 
 namespace cardamom {
@@ -59,47 +61,35 @@
   asio::awaitable<void> Rollback(TransactionPin& pin);
 
  private:
-  struct Attempt;
-
   // The position that a replica must have applied to answer a read of the task; nullopt if only the
   // primary may answer or no position could be determined in time.
   asio::awaitable<std::optional<Position>> NeededPosition(GroupClient& group,
                                                           const StatementTask& task);
   // One attempt at `endpoint`: a read, a write, and a transaction with its first statement. `after`
   // is the position that a replica must have applied; nullopt at the primary.
-  asio::awaitable<Attempt> ReadAt(GroupClient& group,
-                                  GroupClient::EndpointPtr endpoint,
-                                  std::optional<Position> after,
-                                  const StatementTask& task,
-                                  TimePoint deadline);
-  asio::awaitable<Attempt> WriteAt(GroupClient& group,
-                                   GroupClient::EndpointPtr endpoint,
-                                   const StatementTask& task);
-  asio::awaitable<Attempt> OpenAt(GroupClient& group,
-                                  GroupClient::EndpointPtr endpoint,
-                                  std::optional<Position> after,
-                                  const StatementTask& task,
-                                  bool read_only,
-                                  TimePoint deadline,
-                                  TransactionPin& pin);
+  asio::awaitable<StatementAttempt> ReadAt(GroupClient& group,
+                                           GroupClient::EndpointPtr endpoint,
+                                           std::optional<Position> after,
+                                           const StatementTask& task,
+                                           TimePoint deadline);
+  asio::awaitable<StatementAttempt> WriteAt(GroupClient& group,
+                                            GroupClient::EndpointPtr endpoint,
+                                            const StatementTask& task);
+  asio::awaitable<StatementAttempt> OpenAt(GroupClient& group,
+                                           GroupClient::EndpointPtr endpoint,
+                                           std::optional<Position> after,
+                                           const StatementTask& task,
+                                           bool read_only,
+                                           TimePoint deadline,
+                                           TransactionPin& pin);
   // Runs `batch` on the pin's link. The result holds the reply to the caller's statement, if the
   // batch has one.
-  asio::awaitable<Attempt> RunBatch(const StatementTask& task,
-                                    StatementBatch batch,
-                                    TransactionPin& pin);
-  // Record the outcome in metrics and events, and build the reply if it is an error: kBusy with a
-  // retry hint, or kInDoubt.
-  Reply MakeRefusal(const GroupClient& group, const StatementTask& task, const std::string& reason);
-  Reply MakeUnknownReply(const GroupClient& group,
-                         const StatementTask& task,
-                         const std::string& reason);
-  void LogAnswer(const GroupClient& group,
-                 const StatementTask& task,
-                 const Endpoint& endpoint,
-                 std::optional<Position> after,
-                 const Reply& reply);
+  asio::awaitable<StatementAttempt> RunBatch(const StatementTask& task,
+                                             StatementBatch batch,
+                                             TransactionPin& pin);
 
   GatewayContext& m_context;
+  StatementOutcome m_outcome{m_context};
 };
 
 }  // namespace cardamom
