Prepared statements: names are numbers of the link, not hashes

Cause: a link named a prepared statement by the XXH64 of its shape.

Change: a link numbers its statements (p1, p2, ...) and keeps the number beside the statement; an execution carries the name under which its own shape was prepared on that link. A number is not used again after the link was cleared.

--- a/src/gateway/statement_batch.cc
+++ b/src/gateway/statement_batch.cc
@@ -2,18 +2,11 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-#include <xxhash.h>
-
 namespace cardamom {
 namespace {
 
-// The proxy's name for a prepared statement on a link. It depends only on the access and the shape,
-// so that sessions that prepared the same statement can share links.
-std::string SharedStatementName(const PreparedStatement& prepared) {
-  const auto hash = XXH64(prepared.shape.data(), prepared.shape.size(), 0);
-  return fmt::format("{}{:016x}", prepared.access == Access::kWrite ? 'w' : 'r', hash);
-}
+// Names that a transaction finds free: no names can be cleared within it.
+constexpr std::size_t kNamesForTransaction = PreparedNames::kMaxNames / 2;
 
 EndpointRequest SetValueRequest(const std::string& name, const std::string& value) {
   EndpointRequest request;
@@ -42,12 +35,14 @@
 
 }  // namespace
 
-EndpointRequest ToRequest(const Statement& statement, const CallerState& caller) {
+EndpointRequest ToRequest(const Statement& statement,
+                          const CallerState& caller,
+                          const StatementBatch& batch) {
   EndpointRequest request;
   request.id = statement.id;
-  if (const auto* prepared = FindPrepared(statement, caller)) {
+  if (FindPrepared(statement, caller) != nullptr) {
     request.operation = EndpointOperation::kExecute;
-    request.name = SharedStatementName(*prepared);
+    request.name = batch.prepared_name;
     request.value = statement.value;
   } else {
     request.text = statement.text;
@@ -68,26 +63,36 @@
                                bool in_transaction) {
   StatementBatch batch;
   batch.values_after = caller.values;
-  batch.prepared_after = link.prepared;
+  const auto* prepared = statement == nullptr ? nullptr : FindPrepared(*statement, caller);
+  const auto* name = prepared == nullptr ? nullptr : link.prepared.Find(*prepared);
+  const bool adds_name = prepared != nullptr && name == nullptr;
+  const auto max_names = statement == nullptr ? PreparedNames::kMaxNames - kNamesForTransaction
+                                              : PreparedNames::kMaxNames - (adds_name ? 1 : 0);
+  const bool is_full = link.prepared.size() > max_names;
   auto held = link.values;
-  if (!in_transaction && !IsPartOf(held, caller.values)) {
+  if (!in_transaction && (is_full || !IsPartOf(held, caller.values))) {
     EndpointRequest discard;
     discard.operation = EndpointOperation::kDiscard;
     batch.requests.push_back(discard);
-    batch.prepared_after.clear();
+    batch.clears_prepared = true;
+    name = nullptr;
     held.clear();
   }
-  for (const auto& [name, value] : caller.values) {
-    const auto it = held.find(name);
+  batch.exceeds_names = in_transaction && is_full;
+  for (const auto& [key, value] : caller.values) {
+    const auto it = held.find(key);
     if (it == held.end() || it->second != value) {
-      batch.requests.push_back(SetValueRequest(name, value));
+      batch.requests.push_back(SetValueRequest(key, value));
     }
   }
-  const auto* prepared = statement == nullptr ? nullptr : FindPrepared(*statement, caller);
-  if (prepared != nullptr && batch.prepared_after.insert(*prepared).second) {
+  if (name != nullptr) {
+    batch.prepared_name = *name;
+  } else if (prepared != nullptr) {
+    batch.prepared_name = link.prepared.NextName();
+    batch.prepares = *prepared;
     EndpointRequest prepare;
     prepare.operation = EndpointOperation::kPrepare;
-    prepare.name = SharedStatementName(*prepared);
+    prepare.name = batch.prepared_name;
     prepare.access = prepared->access;
     prepare.value = prepared->shape;
     batch.requests.push_back(prepare);
@@ -104,7 +109,12 @@
     }
   }
   link.values = batch.values_after;
-  link.prepared = batch.prepared_after;
+  if (batch.clears_prepared) {
+    link.prepared.Clear();
+  }
+  if (batch.prepares) {
+    link.prepared.Add(*batch.prepares);
+  }
   return true;
 }
 
--- a/src/gateway/statement_batch.h
+++ b/src/gateway/statement_batch.h
@@ -28,13 +28,22 @@
   std::optional<std::size_t> begin_index;
   // Index in `requests` of the caller's statement, if any.
   std::optional<std::size_t> statement_index;
-  // Session values and prepared statements of the link after all setup requests have succeeded.
+  // Session values of the link after all setup requests have succeeded.
   SessionValues values_after;
-  std::set<PreparedStatement> prepared_after;
+  // The setup requests clear the link's prepared statements, and prepare this one.
+  bool clears_prepared = false;
+  std::optional<PreparedStatement> prepares;
+  // The link's name for the prepared statement that the caller's statement executes.
+  std::string prepared_name;
+  // The transaction has prepared as many statements as a link may hold. The batch must not be sent.
+  bool exceeds_names = false;
 };
 
-// The request that sends `statement` itself to a server. Pure and thread safe.
-EndpointRequest ToRequest(const Statement& statement, const CallerState& caller);
+// The request that sends `statement` itself to a server, after the setup requests of `batch`. Pure
+// and thread safe.
+EndpointRequest ToRequest(const Statement& statement,
+                          const CallerState& caller,
+                          const StatementBatch& batch);
 
 // Whether `statement` reads or writes. An execution has the access of the prepared statement. Pure
 // and thread safe.
@@ -42,8 +51,9 @@
 
 // The setup requests that give `link` the session's values and the prepared statement that
 // `statement` executes; `statement` may be null. If the link has a value that the session does not
-// have, all its values and prepared statements are discarded first, except within a transaction.
-// Pure and thread safe.
+// have, or no room for another prepared statement, all its values and prepared statements are
+// discarded first, except within a transaction. Before a transaction (`statement` is null), room is
+// made for half of the names that a link may hold. Pure and thread safe.
 StatementBatch BuildSetupBatch(const PooledLink& link,
                                const CallerState& caller,
                                const Statement* statement,
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -56,7 +56,7 @@
     batch.requests.push_back(OwnRequest(EndpointOperation::kBegin));
   }
   batch.statement_index = batch.requests.size();
-  auto main = ToRequest(task.statement, task.caller);
+  auto main = ToRequest(task.statement, task.caller, batch);
   main.min_position = after;
   batch.requests.push_back(std::move(main));
   if (at_primary) {
@@ -208,7 +208,7 @@
       co_return attempt;
     }
   }
-  std::vector<EndpointRequest> requests{ToRequest(task.statement, task.caller)};
+  std::vector<EndpointRequest> requests{ToRequest(task.statement, task.caller, batch)};
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
   const auto answer = co_await (*lease)->link->Run(std::move(requests), task.deadline);
--- a/src/gateway/transaction_statements.cc
+++ b/src/gateway/transaction_statements.cc
@@ -18,6 +18,10 @@
                                                             StatementBatch batch,
                                                             TransactionPin& pin) {
   StatementAttempt attempt;
+  if (batch.exceeds_names) {
+    attempt.reason = "too many prepared statements in the transaction";
+    co_return attempt;
+  }
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
   const auto answer = co_await pin.lease->link->Run(batch.requests, task.deadline);
@@ -106,7 +110,7 @@
   // it would run outside any transaction.
   auto first = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
   first.statement_index = first.requests.size();
-  first.requests.push_back(ToRequest(task.statement, task.caller));
+  first.requests.push_back(ToRequest(task.statement, task.caller, first));
   pin.may_have_written = AccessOf(task.statement, task.caller) == Access::kWrite;
   attempt = co_await RunBatch(task, std::move(first), pin);
   if (attempt.status == StatementAttempt::Status::kAnswered && !attempt.reply.ok() &&
@@ -183,7 +187,7 @@
   const OutstandingCount counted(pin.endpoint);
   auto batch = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
   batch.statement_index = batch.requests.size();
-  batch.requests.push_back(ToRequest(task.statement, task.caller));
+  batch.requests.push_back(ToRequest(task.statement, task.caller, batch));
   if (AccessOf(task.statement, task.caller) == Access::kWrite) {
     pin.may_have_written = true;
   }
@@ -212,9 +216,8 @@
   const OutstandingCount counted(endpoint);
   StatementBatch batch;
   batch.values_after = pin.lease->values;
-  batch.prepared_after = pin.lease->prepared;
   batch.statement_index = 0;
-  batch.requests.push_back(ToRequest(task.statement, task.caller));
+  batch.requests.push_back(ToRequest(task.statement, task.caller, batch));
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
   auto attempt = co_await RunBatch(task, std::move(batch), pin);
--- a/src/pool/link_pool.h
+++ b/src/pool/link_pool.h
@@ -4,12 +4,12 @@
 #include <list>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "pool/prepared_names.h"
 #include "statement/endpoint_link.h"
 
 namespace cardamom {
@@ -19,7 +19,7 @@
 struct PooledLink {
   std::unique_ptr<EndpointLink> link;
   SessionValues values;
-  std::set<PreparedStatement> prepared;
+  PreparedNames prepared;
   // The server's process was started before this.
   TimePoint opened_at = Clock::now();
 };
