Links: each belongs to one organisation

Change: a pooled link has an organisation, and Acquire takes that of the statement. LinkChoice decides, without a network, which idle link is closed to make room, who gets a returned link, and how many links an organisation may use. The first link of an organisation is opened at once, also by closing an idle link of another one. The victim is a link of the organisation that holds most beyond its need: what it used at the same time in the last seconds, the last link weighted by the rate of its statements. An organisation may use four times as many links as nobody uses, so that open transactions of one leave links to others. Control requests use any idle link; a link opened for them goes first. A link closed to make room is closed cleanly, and an answer of a server at its connection limit just after that is retried once. A statement of a transaction is refused if its organisation is not that of the link.

--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -41,7 +41,8 @@
     attempt.reason = permit.error().detail;
     co_return attempt;
   }
-  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, latest);
+  auto lease = co_await endpoint->pool->Acquire(task.organisation, task.caller.values,
+                                                LinkUse::kStatement, latest);
   if (!lease) {
     attempt.reason = lease.error().detail;
     group.OnLinkFailure(endpoint, lease.error());
@@ -137,8 +138,8 @@
       const auto servers = group->ServersForRead(needed, tried);
       choices = servers.size();
       // Servers with a free link are preferred to those whose link would have to be waited for.
-      const auto free = std::find_if(servers.begin(), servers.end(), [](const auto& server) {
-        return server->pool->CanAcquireAtOnce();
+      const auto free = std::find_if(servers.begin(), servers.end(), [&](const auto& server) {
+        return server->pool->CanAcquireAtOnce(task.organisation);
       });
       endpoint = free != servers.end() ? *free : servers.empty() ? nullptr : servers.front();
     } else {
@@ -187,8 +188,9 @@
     attempt.reason = permit.error().detail;
     co_return attempt;
   }
-  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement,
-                                                FractionDeadline(task, kPrimaryWaitFraction));
+  auto lease =
+      co_await endpoint->pool->Acquire(task.organisation, task.caller.values, LinkUse::kStatement,
+                                       FractionDeadline(task, kPrimaryWaitFraction));
   if (!lease) {
     attempt.reason = lease.error().detail;
     group.OnLinkFailure(endpoint, lease.error());
--- a/src/gateway/transaction_statements.cc
+++ b/src/gateway/transaction_statements.cc
@@ -22,6 +22,10 @@
     attempt.reason = "too many prepared statements in the transaction";
     co_return attempt;
   }
+  if (pin.lease->organisation != task.organisation) {
+    attempt.reason = "the transaction belongs to another organisation";
+    co_return attempt;
+  }
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
   const auto answer = co_await pin.lease->link->Run(batch.requests, task.deadline);
@@ -86,7 +90,8 @@
     attempt.reason = permit.error().detail;
     co_return attempt;
   }
-  auto lease = co_await endpoint->pool->Acquire(task.caller.values, LinkUse::kStatement, deadline);
+  auto lease = co_await endpoint->pool->Acquire(task.organisation, task.caller.values,
+                                                LinkUse::kStatement, deadline);
   if (!lease) {
     attempt.reason = lease.error().detail;
     group.OnLinkFailure(endpoint, lease.error());
@@ -137,8 +142,8 @@
     GroupClient::EndpointPtr endpoint;
     if (needed) {
       const auto servers = group->ServersForRead(needed, tried);
-      const auto free = std::find_if(servers.begin(), servers.end(), [](const auto& server) {
-        return server->pool->CanAcquireAtOnce();
+      const auto free = std::find_if(servers.begin(), servers.end(), [&](const auto& server) {
+        return server->pool->CanAcquireAtOnce(task.organisation);
       });
       endpoint = free != servers.end() ? *free : servers.empty() ? nullptr : servers.front();
     } else {
--- a/src/pool/link_pool.h
+++ b/src/pool/link_pool.h
@@ -1,14 +1,18 @@
 // Connections of this proxy to one database server, shared by all sessions.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "pool/link_choice.h"
+#include "pool/link_counters.h"
 #include "pool/prepared_names.h"
 #include "statement/endpoint_link.h"
 
@@ -18,17 +22,16 @@
 // session's statements run only on a link whose values equal the session's.
 struct PooledLink {
   std::unique_ptr<EndpointLink> link;
+  // The only organisation whose statements the link may carry; the server knows the link by it.
+  OrganisationName organisation;
   SessionValues values;
   PreparedNames prepared;
   // The server's process was started before this.
   TimePoint opened_at = Clock::now();
-};
-
-// What a link is used for.
-enum class LinkUse {
-  kStatement,
-  // Probes and failover: may open one link above the share, and never wait for a link.
-  kControl,
+  // What the link is used for, or was used for last.
+  LinkUse use = LinkUse::kStatement;
+  // When a statement last returned the link.
+  TimePoint last_used;
 };
 
 // Must be owned by a std::shared_ptr. Not thread safe: all use is on the thread of the context.
@@ -65,15 +68,25 @@
            LinkOpener opener,
            std::size_t max_links);
 
-  // Takes an idle link, preferably one with the same `values`. Otherwise waits for one, and after a
-  // delay opens one if the share allows it: opening a link takes a slot of the server, so many
-  // concurrent requests must not open links all at once. The first link is opened without a delay.
-  // Errors: as LinkOpener, kTransport if the pool is already retired, and kDeadlineExpired if no
-  // link became free in time or the pool was retired during the wait; always with Ran::kNo.
-  asio::awaitable<Outcome<Lease>> Acquire(SessionValues values, LinkUse use, TimePoint deadline);
+  // Takes an idle link of `organisation`, preferably one with the same `values`. Otherwise waits
+  // for one, and after a delay opens one if the share allows it: opening a link takes a slot of the
+  // server, so many concurrent requests must not open links all at once. The first link of an
+  // organisation is opened without a delay. If the share is used up, an idle link of another
+  // organisation is closed first. A control request takes an idle link of any organisation, and
+  // opens one of none. Errors: as LinkOpener, kTransport if the pool is already retired, and
+  // kDeadlineExpired if no link became free in time or the pool was retired during the wait; always
+  // with Ran::kNo.
+  asio::awaitable<Outcome<Lease>> Acquire(OrganisationName organisation,
+                                          SessionValues values,
+                                          LinkUse use,
+                                          TimePoint deadline);
+  // As above, without an organisation.
+  asio::awaitable<Outcome<Lease>> Acquire(SessionValues values, LinkUse use, TimePoint deadline) {
+    return Acquire(OrganisationName(), std::move(values), use, deadline);
+  }
 
-  // Takes an idle link that was opened before `time`, or waits for one until `deadline`, ahead of
-  // statements; opens none. Errors: kDeadlineExpired with Ran::kNo.
+  // Takes an idle link of any organisation that was opened before `time`, or waits for one until
+  // `deadline`, ahead of statements; opens none. Errors: kDeadlineExpired with Ran::kNo.
   asio::awaitable<Outcome<Lease>> AcquireOpenedBefore(TimePoint time, TimePoint deadline);
 
   // Opens links one after the other until min(`count`, share) are open or opening one fails, for
@@ -81,7 +94,7 @@
   asio::awaitable<void> Warm(std::size_t count, TimePoint deadline);
 
   // Changes the share; a link above it is closed when it is returned while no request waits.
-  void SetMaxLinks(std::size_t max_links) { m_max_links = max_links; }
+  void SetMaxLinks(std::size_t max_links);
 
   // An eager pool opens a link without a delay while the share allows it: shares of a few links
   // each cannot overload a server.
@@ -94,18 +107,25 @@
   // Closes idle links, which may be connected to a process that is gone.
   void CloseIdle();
 
+  // Counts in `counters` from now on; several pools may share them.
+  void CountIn(std::shared_ptr<LinkCounters> counters) { m_counters = std::move(counters); }
+
   // Links in use, idle or being opened.
   std::size_t open_links() const { return m_open_links; }
   // Links in use or being opened.
   std::size_t leased() const { return m_open_links - m_idle.size(); }
-  // Whether Acquire would take or open a link without waiting for one.
-  bool CanAcquireAtOnce() const { return !m_idle.empty() || MayOpenAtOnce(); }
+  // Links being opened.
+  std::size_t opening() const { return m_opening_links; }
+  // Whether Acquire for a statement would take or open a link without waiting for one.
+  bool CanAcquireAtOnce(const OrganisationName& organisation) const;
   std::size_t waiting() const { return m_waiters.size(); }
 
  private:
   struct Waiter {
     explicit Waiter(boost::asio::io_context& context) : timer(context) {}
     boost::asio::steady_timer timer;
+    OrganisationName organisation;
+    TimePoint since = Clock::now();
     // The link that was assigned to this waiter.
     std::unique_ptr<PooledLink> link;
     // This waiter was assigned the right to open a link.
@@ -115,21 +135,49 @@
     std::optional<TimePoint> opened_before;
 
     bool IsPending() const { return !link && !may_open && !refused; }
-    bool Accepts(const PooledLink& offered) const {
-      return !opened_before || offered.opened_at < *opened_before;
-    }
+    bool IsPendingStatement() const { return IsPending() && !opened_before; }
   };
-
-  bool MayOpenAtOnce() const {
-    return m_eager ? m_open_links < m_max_links : m_open_links == 0 && m_max_links > 0;
-  }
-  std::unique_ptr<PooledLink> TakeIdle(const SessionValues& values);
+  using WaiterPtr = std::shared_ptr<Waiter>;
+  using LinkFilter = std::function<bool(const PooledLink&)>;
+
+  // Whether a statement of `organisation` opens a link without waiting.
+  bool OpensAtOnce(const OrganisationName& organisation) const;
+  bool HasIdleLink(const OrganisationName& organisation) const;
+  // Takes an idle link that `accepts`: the one last returned, preferably with the same `values`.
+  std::unique_ptr<PooledLink> TakeIdle(const LinkFilter& accepts, const SessionValues& values);
+  std::unique_ptr<PooledLink> TakeOwnIdle(const OrganisationName& organisation,
+                                          const SessionValues& values);
+  std::unique_ptr<PooledLink> TakeIdleForControl(const SessionValues& values);
   std::unique_ptr<PooledLink> TakeOpenedBefore(TimePoint time);
-  asio::awaitable<Outcome<Lease>> Open(TimePoint deadline);
-  asio::awaitable<Outcome<Lease>> WaitForLink(TimePoint deadline);
+  // Records that `link` is in use from now on.
+  Lease StartUse(std::unique_ptr<PooledLink> link, LinkUse use);
+  // Makes sure that one more link may be open, by closing idle links of other organisations if
+  // necessary. Returns false if that is not possible.
+  bool MakeRoom(const OrganisationName& organisation);
+  // Closes a good link to make room.
+  void Replace(PooledLink& link);
+  // Reserves a place for a link that is opened next.
+  void Reserve(const OrganisationName& organisation);
+  // Opens a link in a reserved place.
+  asio::awaitable<Outcome<Lease>> Open(OrganisationName organisation,
+                                       LinkUse use,
+                                       TimePoint deadline);
+  asio::awaitable<Outcome<Lease>> WaitForLink(OrganisationName organisation, TimePoint deadline);
+  // Gives the waiter an idle link of its organisation or the right to open one, if possible.
+  void Serve(Waiter& waiter, Duration waited);
+  // As above, for all statements that wait in a pool that organisations share.
+  void ServeWaiters();
+  // Gives a returned link, or its place, to a waiter. Returns false if the link should stay open.
+  bool Hand(std::unique_ptr<PooledLink>& link);
+  void Give(Waiter& waiter, std::unique_ptr<PooledLink> link, LinkUse use);
+  void LetOpen(Waiter& waiter);
   void Return(std::unique_ptr<PooledLink> link);
+  // Records that a link, which is not in use, has been closed.
+  void RecordClosed(const PooledLink& link);
   // Lets a waiter open a link in place of one that was closed.
   void OnLinkClosed();
+  // The statements that wait, in order of arrival, and their waiters.
+  std::vector<LinkWaiter> PendingStatements(std::vector<WaiterPtr>& waiters) const;
 
   boost::asio::io_context& m_context;
   const EndpointEntry m_entry;
@@ -140,8 +188,12 @@
   std::size_t m_opening_links = 0;
   bool m_retired = false;
   bool m_eager = false;
+  // When an idle link was last closed to make room.
+  TimePoint m_replaced_at;
+  LinkChoice m_choice;
   std::vector<std::unique_ptr<PooledLink>> m_idle;
-  std::list<std::shared_ptr<Waiter>> m_waiters;
+  std::list<WaiterPtr> m_waiters;
+  std::shared_ptr<LinkCounters> m_counters = std::make_shared<LinkCounters>();
 };
 
 }  // namespace cardamom
--- a/src/statement/endpoint_link.h
+++ b/src/statement/endpoint_link.h
@@ -98,6 +98,9 @@
 
   // Closes the link at once; the server rolls back a transaction that is open on it.
   virtual void Close() = 0;
+
+  // Ends an idle link so that the server frees its place as soon as it learns of it.
+  virtual void CloseIdle() { Close(); }
 };
 
 // Opens a link that serves one organisation for its life, or none if `organisation` is empty.
