Tables: each answer tells up to when the store is known to have held its rows

Cause: the bound on withdrawn keys needs a proof that survives lost, late and reordered answers, suspended processes and partitioned relays. TableFollower exposes confirmed_at() for every table. With organisations a relay answers a waiting request for the configuration or the members as soon as it has advanced; without organisations no message, wait or byte changes. Directory keeps the proof of the configuration in force; the offers of peers at the start count too. Metrics for the age of the configuration and for refusals.

--- a/src/directory/table_follower.cc
+++ b/src/directory/table_follower.cc
@@ -97,6 +97,7 @@
     }
     if (after.era == m_position.era) {
       AdoptChanges(*changes);
+      Confirm(changes->confirmed_at);
     }
   }
 }
@@ -116,6 +117,7 @@
     return;
   }
   if (order == StoreOrder::kRestored) {
+    m_confirmed_at.reset();
     m_context.events.Emit(EventCode::kStoreRestored,
                           {.detail = m_name + DescribeStep(snapshot.position)});
     m_restored_at = snapshot.position.version;
@@ -148,6 +150,18 @@
     m_on_change();
   }
   m_changed.NotifyAll();
+  Confirm(snapshot.confirmed_at);
+}
+
+void TableFollower::Confirm(std::optional<BootTime> confirmed_at) {
+  if (!confirmed_at || (m_confirmed_at && *confirmed_at <= *m_confirmed_at)) {
+    return;
+  }
+  m_confirmed_at = confirmed_at;
+  if (m_on_confirmed) {
+    m_on_confirmed(*confirmed_at);
+  }
+  m_changed.NotifyAll();
 }
 
 void TableFollower::AdoptChanges(const TableSnapshot& changes) {
@@ -203,7 +217,8 @@
 }
 
 asio::awaitable<Outcome<TableSnapshot>> TableFollower::WaitForChanges(StorePosition after,
-                                                                      Millis wait) {
+                                                                      Millis wait,
+                                                                      bool or_confirmed) {
   const auto gather = [this, after] {
     TableSnapshot changes;
     for (const auto& [key, row] : m_rows) {
@@ -218,8 +233,10 @@
     }
     return changes;
   };
-  const std::function<bool()> ready = [this, after, gather] {
-    return !m_up_to_date || after.era != m_position.era || !gather().rows.empty();
+  const std::function<bool()> ready = [this, after, gather, or_confirmed,
+                                       confirmed_before = m_confirmed_at] {
+    return !m_up_to_date || (or_confirmed && m_confirmed_at != confirmed_before) ||
+           after.era != m_position.era || !gather().rows.empty();
   };
   co_await m_changed.WaitUntil(ready, Clock::now() + wait);
   if (!m_loaded || !m_up_to_date) {
--- a/src/directory/table_follower.h
+++ b/src/directory/table_follower.h
@@ -37,6 +37,12 @@
     m_on_store_call = std::move(hook);
   }
 
+  // Sets the function that is called when confirmed_at() has advanced, after the hook of
+  // set_on_change for the same answer.
+  void set_on_confirmed(std::function<void(BootTime confirmed_at)> hook) {
+    m_on_confirmed = std::move(hook);
+  }
+
   // Reads the whole table through `table`. Returns false if it does not answer by `deadline`.
   asio::awaitable<bool> Refresh(const TablePort& table, TimePoint deadline);
 
@@ -49,6 +55,9 @@
   TimePoint last_response_at() const { return m_last_response_at; }
   // Rows that exist, by key.
   const std::map<std::string, TableRow>& rows() const { return m_rows; }
+  // The latest local time at which, or after which, the store is known to have held rows();
+  // nullopt if none is known in the era of position().
+  std::optional<BootTime> confirmed_at() const { return m_confirmed_at; }
   // Position of the store that rows() reflects.
   StorePosition position() const { return m_position; }
 
@@ -62,10 +71,13 @@
   TimePoint era_observed_at() const { return m_era_observed_at; }
 
   // Returns the rows changed after position `after`, removed ones included, as soon as there are
-  // any, or no rows after `wait`. Sets `history_gone` if not all of these changes are kept any
+  // any, or no rows after `wait`. With `or_confirmed` it also returns, without rows, as soon as
+  // confirmed_at() has advanced. Sets `history_gone` if not all of these changes are kept any
   // more. Errors: kPlatformUnavailable while this follower is not up to date or has not read the
   // era of `after` yet.
-  asio::awaitable<Outcome<TableSnapshot>> WaitForChanges(StorePosition after, Millis wait);
+  asio::awaitable<Outcome<TableSnapshot>> WaitForChanges(StorePosition after,
+                                                         Millis wait,
+                                                         bool or_confirmed = false);
   // Returns all rows. Errors: as Changes.
   Outcome<TableSnapshot> Snapshot() const;
   // Returns all rows as last read, however long ago; no rows and position 0 if the table was never
@@ -78,6 +90,7 @@
   std::string DescribeStep(const StorePosition& next) const;
   void AdoptAll(TableSnapshot snapshot);
   void AdoptChanges(const TableSnapshot& changes);
+  void Confirm(std::optional<BootTime> confirmed_at);
   void SetUpToDate(bool up_to_date, const std::string& detail);
   void PruneRemovedRows();
   Millis RetryDelay();
@@ -88,6 +101,7 @@
   std::function<void()> m_on_change;
   std::function<void()> m_on_restore;
   std::function<void(bool, const std::string&)> m_on_store_call;
+  std::function<void(BootTime)> m_on_confirmed;
   std::map<std::string, TableRow> m_rows;
   // By key, the version at which a removed row was observed as removed; used by Changes().
   std::map<std::string, StoreVersion> m_removed_rows;
@@ -103,6 +117,7 @@
   bool m_stopped = false;
   int m_failures = 0;
   TimePoint m_last_response_at;
+  std::optional<BootTime> m_confirmed_at;
   Notifier m_changed;
 };
 
--- a/src/directory/table_port.h
+++ b/src/directory/table_port.h
@@ -33,6 +33,12 @@
   StorePosition position;
   // The store's monotonic clock.
   std::int64_t now_ms = 0;
+  // The same clock when the first rows were read: later changes of these may be missing. 0 if not
+  // known.
+  std::int64_t complete_at_ms = 0;
+  // A local time at which, or after which, the store held these rows, or the changed rows and the
+  // unchanged ones; not set if that is not proven. Ports that do not determine it leave it so.
+  std::optional<BootTime> confirmed_at;
   // Only among changes: the requested history is no longer kept, so the whole table must be read.
   bool history_gone = false;
 };
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -138,8 +138,11 @@
   std::optional<StoreEra> era;
   StoreVersion version;
   bool history_gone = false;
+  // How long before the arrival of the request the store is known to have held these rows; negative
+  // if it is known of a later time. Not set if it is not known, and by proxies of earlier versions.
+  std::optional<std::int64_t> confirmed_age_us;
 };
-BOOST_DESCRIBE_STRUCT(PeerTableReply, (), (rows, era, version, history_gone))
+BOOST_DESCRIBE_STRUCT(PeerTableReply, (), (rows, era, version, history_gone, confirmed_age_us))
 
 // GET kPeerStorePath: whether the peer's list of servers is up to date with the store.
 struct PeerStoreReply {
--- a/src/fleet/peer_service.cc
+++ b/src/fleet/peer_service.cc
@@ -69,6 +69,7 @@
 
 asio::awaitable<HttpResponse> PeerService::AnswerTable(std::string body) {
   HttpResponse response;
+  const auto received_at = BootClock::now();
   const auto request = DecodeJson<PeerTableRequest>(body);
   const auto table_it = std::find_if(m_tables.begin(), m_tables.end(), [&](const auto* table) {
     return request && table->name() == request->table;
@@ -87,7 +88,8 @@
     snapshot = table.LatestSnapshot();
   } else if (is_from_store && request->after) {
     snapshot = co_await table.WaitForChanges(
-        {request->era.value_or(table.position().era), *request->after}, wait);
+        {request->era.value_or(table.position().era), *request->after}, wait,
+        TellsConfirmation(table));
   } else if (is_from_store) {
     snapshot = table.Snapshot();
   }
@@ -101,6 +103,14 @@
   reply.era = snapshot->position.era;
   reply.version = snapshot->position.version;
   reply.history_gone = snapshot->history_gone;
+  if (TellsConfirmation(table) && !snapshot->history_gone) {
+    if (const auto confirmed_at = m_directory.RowsConfirmedAt(table)) {
+      // Counted from the arrival, so that the wait for changes does not make the peer's bound
+      // worse.
+      const auto age = received_at - *confirmed_at;
+      reply.confirmed_age_us = std::chrono::ceil<std::chrono::microseconds>(age).count();
+    }
+  }
   for (const auto& row : snapshot->rows) {
     reply.rows.push_back({row.key, row.version, row.gone, EncodeBase64(row.value)});
   }
@@ -108,6 +118,13 @@
   co_return response;
 }
 
+bool PeerService::TellsConfirmation(const TableFollower& table) const {
+  // Without organisations nothing depends on it, and nothing is sent for it.
+  const bool is_needed = table.name() == Fleet::kTableName ||
+                         table.name() == m_directory.configuration_follower().name();
+  return is_needed && m_directory.HasOrganisations();
+}
+
 asio::awaitable<PeerReply> PeerService::Run(PeerStatement message) {
   const auto in = FromMessage(message, Clock::now(), BootClock::now());
   if (!in) {
--- a/src/fleet/peer_service.h
+++ b/src/fleet/peer_service.h
@@ -69,6 +69,8 @@
   void RollBackIdle(TimePoint used_before);
 
   asio::awaitable<HttpResponse> AnswerTable(std::string body);
+  // Whether a request for `table` is answered as soon as the rows are known to be more current.
+  bool TellsConfirmation(const TableFollower& table) const;
 
   GatewayContext& m_context;
   Directory& m_directory;
--- a/src/fleet/relayed_table.cc
+++ b/src/fleet/relayed_table.cc
@@ -1,5 +1,6 @@
 #include "fleet/relayed_table.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -32,13 +33,17 @@
 constexpr Millis kNonRelayStoreRetryDelay{1200};
 // Delay before a relay asks for changes of the members, so that several arrive in one answer.
 constexpr Millis kMembersBatchDelay{300};
+// An age beyond this, in either direction, proves nothing of use.
+constexpr std::chrono::microseconds kMaxConfirmedAge = std::chrono::hours(1);
 constexpr int kOk = 200;
 
 Error Unavailable(std::string detail) {
   return Error{ResultCode::kPlatformUnavailable, std::move(detail), Ran::kNo};
 }
 
-Outcome<TableSnapshot> DecodeTableReply(const std::string& body) {
+// `sent_at`: when the request was sent. The age that the reply states is counted back from then,
+// since the request arrived later and the reply may have been delayed for any time.
+Outcome<TableSnapshot> DecodeTableReply(const std::string& body, BootTime sent_at) {
   auto reply = DecodeJson<PeerTableReply>(body);
   if (!reply) {
     return reply.error();
@@ -49,6 +54,12 @@
   TableSnapshot snapshot;
   snapshot.position = {*reply->era, reply->version};
   snapshot.history_gone = reply->history_gone;
+  const auto max_age = kMaxConfirmedAge.count();
+  if (reply->confirmed_age_us && *reply->confirmed_age_us >= -max_age &&
+      *reply->confirmed_age_us <= max_age) {
+    const std::chrono::microseconds age(*reply->confirmed_age_us);
+    snapshot.confirmed_at = std::min<BootTime>(sent_at - age, BootClock::now());
+  }
   try {
     for (auto& row : reply->rows) {
       snapshot.rows.push_back(
@@ -107,6 +118,19 @@
   }
 }
 
+Millis RelayedTable::LimitWait(const std::string& table, Millis wait) {
+  const auto proof = m_proofs_needed.find(table);
+  const bool is_needed = proof != m_proofs_needed.end() && proof->second();
+  return is_needed ? m_store_clock.LimitWait(wait, BootClock::now()) : wait;
+}
+
+void RelayedTable::SetConfirmedAt(Outcome<TableSnapshot>& answer, BootTime sent_at) {
+  if (answer && !answer->history_gone) {
+    answer->confirmed_at = m_store_clock.RecordAnswer(
+        {answer->position.era, answer->complete_at_ms, sent_at, BootClock::now()});
+  }
+}
+
 asio::awaitable<bool> RelayedTable::WaitUntilSettled(TimePoint deadline) {
   while (!m_fleet.IsSettled() && Clock::now() < deadline) {
     co_await Sleep(kSettlePollInterval);
@@ -122,6 +146,7 @@
   message.target = kPeerTablePath;
   message.headers.push_back({"Content-Type", "application/json"});
   message.body = EncodeJson(request);
+  const auto sent_at = BootClock::now();
   const auto response = co_await m_peers.Send(vm, std::move(message), deadline);
   if (!response) {
     co_return Unavailable(vm.id.value() + ": " + response.error().detail);
@@ -129,7 +154,7 @@
   if (response->status != kOk) {
     co_return Unavailable(vm.id.value() + ": " + response->body);
   }
-  co_return DecodeTableReply(response->body);
+  co_return DecodeTableReply(response->body, sent_at);
 }
 
 asio::awaitable<Outcome<TableSnapshot>> RelayedTable::AskRelays(PeerTableRequest request,
@@ -204,7 +229,9 @@
 
 asio::awaitable<Outcome<TableSnapshot>> RelayedTable::ReadStore(std::string table,
                                                                 TimePoint deadline) {
+  const auto sent_at = BootClock::now();
   auto answer = co_await m_table.read(table, std::max(deadline, Clock::now() + kRelayReadTimeout));
+  SetConfirmedAt(answer, sent_at);
   RecordStoreResult(answer.has_value());
   m_from_store[table] = answer.has_value();
   m_loaded[table] = m_loaded[table] || answer.has_value();
@@ -293,7 +320,10 @@
   } else if (table == Fleet::kTableName) {
     co_await Sleep(kMembersBatchDelay);
   }
-  auto answer = co_await m_table.follow(table, after, std::min(wait, StoreWait(table)));
+  const auto sent_at = BootClock::now();
+  const auto store_wait = LimitWait(table, std::min(wait, StoreWait(table)));
+  auto answer = co_await m_table.follow(table, after, store_wait);
+  SetConfirmedAt(answer, sent_at);
   RecordStoreResult(answer.has_value());
   m_from_store[table] = answer.has_value();
   co_return answer;
--- a/src/fleet/relayed_table.h
+++ b/src/fleet/relayed_table.h
@@ -8,6 +8,7 @@
 
 #include "fleet/fleet.h"
 #include "fleet/home_client.h"
+#include "organisation/store_clock.h"
 
 namespace cardamom {
 
@@ -26,6 +27,12 @@
                const Fleet& fleet,
                HomeClient& peers);
 
+  // From now on, answers for `table` must prove often enough that its rows are current, as long as
+  // `is_needed` returns true.
+  void RequireProof(std::string table, std::function<bool()> is_needed) {
+    m_proofs_needed[std::move(table)] = std::move(is_needed);
+  }
+
   // Returns a port that can read and follow tables but not write them. The object must outlive the
   // port.
   TablePort Port();
@@ -63,6 +70,10 @@
   // Whether this proxy may ask the store now. While the store does not answer, a proxy that is not
   // a relay calls it only once per kNonRelayStoreRetryDelay for all tables together.
   bool MayAskStore() const;
+  // The longest wait of the next call to the store that follows `table`.
+  Millis LimitWait(const std::string& table, Millis wait);
+  // Sets when the store had the rows of `answer`, which it gave to a call sent at `sent_at`.
+  void SetConfirmedAt(Outcome<TableSnapshot>& answer, BootTime sent_at);
   void RecordStoreResult(bool answered);
 
   GatewayContext& m_context;
@@ -70,6 +81,8 @@
   const std::map<std::string, Millis> m_max_waits;
   const Fleet& m_fleet;
   HomeClient& m_peers;
+  StoreClock m_store_clock;
+  std::map<std::string, std::function<bool()>> m_proofs_needed;
   std::size_t m_next_relay = 0;
   std::optional<TimePoint> m_store_failed_at;
   std::map<std::string, bool> m_from_store;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -35,6 +35,11 @@
   };
   m_configuration_follower.set_on_change([this] { AdoptConfiguration(); });
   m_configuration_follower.set_on_store_call(on_store_call);
+  m_configuration_follower.set_on_confirmed([this](BootTime confirmed_at) {
+    if (m_proof.ConfirmFollowed(confirmed_at)) {
+      m_changed.NotifyAll();
+    }
+  });
   m_servers_follower.set_on_change([this] { AdoptServers(); });
   m_servers_follower.set_on_restore([this] { OnServersRestored(); });
   m_servers_follower.set_on_store_call(on_store_call);
@@ -95,21 +100,57 @@
 void Directory::AdoptConfiguration() {
   const auto& rows = m_configuration_follower.rows();
   const auto row = rows.find(m_decoders.configuration_key);
-  if (row != rows.end()) {
-    OfferConfiguration(row->second);
+  m_proof.SetFollowed(std::nullopt);
+  if (row == rows.end()) {
+    return;
+  }
+  auto configuration = Decode(row->second);
+  if (configuration) {
+    m_proof.SetFollowed(configuration->version);
+  } else {
+    m_proof.SetFollowedUnreadable();
+  }
+  Apply(std::move(configuration), row->second);
+}
+
+void Directory::OfferConfiguration(const TableSnapshot& snapshot) {
+  for (const auto& row : snapshot.rows) {
+    auto configuration = Decode(row);
+    if (!configuration) {
+      continue;
+    }
+    const auto version = configuration->version;
+    Apply(std::move(configuration), row);
+    if (snapshot.confirmed_at && m_proof.Confirm(version, *snapshot.confirmed_at)) {
+      m_changed.NotifyAll();
+    }
   }
 }
 
-void Directory::OfferConfiguration(const TableRow& row) {
+std::optional<Configuration> Directory::Decode(const TableRow& row) {
   if (row.key != m_decoders.configuration_key || row.gone) {
-    return;
+    return std::nullopt;
   }
   auto configuration = m_decoders.configuration(row.value);
   if (!configuration) {
     m_context.events.Emit(EventCode::kRecordNotUnderstood, {.detail = row.key});
-    return;
   }
-  if (m_configuration && configuration->version <= m_configuration->version) {
+  return configuration;
+}
+
+std::optional<BootTime> Directory::RowsConfirmedAt(const TableFollower& table) const {
+  if (&table != &m_configuration_follower) {
+    return table.confirmed_at();
+  }
+  return m_proof.followed_confirmed_at();
+}
+
+asio::awaitable<bool> Directory::WaitUntilConfirmed(TimePoint deadline) {
+  co_return co_await m_changed.WaitUntil([this] { return confirmed_at().has_value(); }, deadline);
+}
+
+void Directory::Apply(std::optional<Configuration> configuration, const TableRow& row) {
+  if (!configuration || (m_configuration && configuration->version <= m_configuration->version)) {
     return;
   }
   m_context.events.Emit(
@@ -119,6 +160,7 @@
   m_context.metrics.SetConfiguration(configuration->version);
   m_configuration_text = row.value;
   m_configuration = std::move(configuration);
+  m_proof.SetInForce(m_configuration->version);
   UpdateGroups();
   m_changed.NotifyAll();
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -14,6 +14,8 @@
 #include "directory/table_port.h"
 #include "fleet/fleet.h"
 #include "gateway/group_client.h"
+#include "organisation/configuration_proof.h"
+#include "organisation/key_check.h"
 
 namespace cardamom {
 
@@ -77,9 +79,27 @@
   // Waits for IsLoaded(). Returns false if it does not hold at `deadline`.
   asio::awaitable<bool> WaitUntilLoaded(TimePoint deadline);
 
-  // Applies the configuration in `row` if its version is greater than that of the one in force. A
-  // peer may hold a greater one than a store that was restored from an older copy.
-  void OfferConfiguration(const TableRow& row);
+  // Whether the configuration holds organisations, so that callers need keys.
+  bool HasOrganisations() const {
+    return m_configuration && !m_configuration->organisations.empty();
+  }
+  // See ConfigurationProof.
+  std::optional<BootTime> confirmed_at() const { return m_proof.confirmed_at(); }
+  // As TableFollower::confirmed_at for the rows that peers are given: see
+  // ReplaceByConfigurationInForce. nullopt if a greater configuration is in force than the rows
+  // hold, since peers may hold theirs.
+  std::optional<BootTime> RowsConfirmedAt(const TableFollower& table) const;
+  // Waits until confirmed_at() is known. Returns false if it is not by `deadline`.
+  asio::awaitable<bool> WaitUntilConfirmed(TimePoint deadline);
+  // Whether the configuration in force may decide on a statement with a key that was received at
+  // `received_at`; see IsRecentEnough.
+  bool IsRecentFor(BootTime received_at) const {
+    return IsRecentEnough(Millis(m_context.settings.revoke_ms), confirmed_at(), received_at);
+  }
+
+  // Applies the configuration among the rows of a peer if its version is greater than that of the
+  // one in force. A peer may hold a greater one than a store that was restored from an older copy.
+  void OfferConfiguration(const TableSnapshot& snapshot);
   // Replaces the value of the configuration's row in `rows` of the table `table` by the
   // configuration in force, if any.
   void ReplaceByConfigurationInForce(const std::string& table, std::vector<TableRow>& rows) const;
@@ -107,6 +127,10 @@
 
  private:
   void AdoptConfiguration();
+  // The configuration in `row`, or nullopt if it cannot be read or `row` is another one.
+  std::optional<Configuration> Decode(const TableRow& row);
+  // Applies `configuration`, which stems from `row`, if its version is greater.
+  void Apply(std::optional<Configuration> configuration, const TableRow& row);
   void AdoptServers();
   void OnServersRestored();
   // Servers may be missing from the list for now, so no takeover starts.
@@ -128,6 +152,7 @@
   std::optional<Configuration> m_configuration;
   // The row's value that m_configuration was decoded from.
   std::string m_configuration_text;
+  ConfigurationProof m_proof;
   bool m_has_servers = false;
   bool m_store_reachable = true;
   TimePoint m_store_lost_at;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -93,6 +93,8 @@
 }
 
 void Gateway::Start() {
+  m_relayed.RequireProof(m_directory.configuration_follower().name(),
+                         [this] { return m_directory.HasOrganisations(); });
   m_events.Emit(EventCode::kProcessStarted, {.detail = "sessions " + m_settings.listen_sessions});
   m_fleet.Start(m_relayed.Port());
   m_directory.Start();
@@ -111,9 +113,7 @@
   }
   const std::string table = m_directory.configuration_follower().name();
   const std::function<void(const TableSnapshot&)> offer = [this](const TableSnapshot& snapshot) {
-    for (const auto& row : snapshot.rows) {
-      m_directory.OfferConfiguration(row);
-    }
+    m_directory.OfferConfiguration(snapshot);
   };
   co_await m_relayed.AskPeers(table, offer);
   m_asked_peers = true;
@@ -127,6 +127,9 @@
     if (m_directory.IsLoaded() && m_fleet.IsSettled()) {
       m_directory.CloseUnused();
     }
+    if (m_directory.HasOrganisations() && m_directory.confirmed_at()) {
+      m_metrics.SetConfigurationAge(BootClock::now() - *m_directory.confirmed_at());
+    }
     if (IsReady() != ready) {
       ready = !ready;
       m_events.Emit(ready ? EventCode::kReady : EventCode::kNotReady);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -55,7 +55,20 @@
                       .Name("cardamom_store_era")
                       .Help("Era of the store, which rises when it is restored from a copy")
                       .Register(m_registry)
-                      .Add({})) {}
+                      .Add({})),
+      m_callers_denied(prometheus::BuildCounter()
+                           .Name("cardamom_callers_denied_total")
+                           .Help("Sessions and statements refused because of their keys, by reason")
+                           .Register(m_registry)),
+      m_configuration_too_old(prometheus::BuildCounter()
+                                  .Name("cardamom_configuration_too_old_total")
+                                  .Help("Sessions and statements with keys refused because the "
+                                        "configuration was too old")
+                                  .Register(m_registry)),
+      m_configuration_age(prometheus::BuildGauge()
+                              .Name("cardamom_configuration_age_seconds")
+                              .Help("Time since the configuration was last known to be current")
+                              .Register(m_registry)) {}
 
 void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
   m_statements.Add({{"outcome", outcome}}).Increment();
@@ -91,6 +104,18 @@
   m_store_calls.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountCallerDenied(const char* reason) {
+  m_callers_denied.Add({{"reason", reason}}).Increment();
+}
+
+void GatewayMetrics::CountConfigurationTooOld() {
+  m_configuration_too_old.Add({}).Increment();
+}
+
+void GatewayMetrics::SetConfigurationAge(std::chrono::nanoseconds age) {
+  m_configuration_age.Add({}).Set(std::chrono::duration<double>(age).count());
+}
+
 void GatewayMetrics::SetStoreEra(StoreEra era) {
   m_store_era.Set(static_cast<double>(era.value()));
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -38,6 +38,14 @@
   // Counts a call of a table follower to the store or a relay. `outcome` is answered, history_gone
   // (the whole table has to be read) or failed.
   void CountStoreCall(const char* outcome);
+  // Counts a session or a statement that was refused because of its key. `reason` is unknown_key
+  // (at CONNECT), withdrawn_key or moved_key.
+  void CountCallerDenied(const char* reason);
+  // Counts a session or a statement that was refused because the configuration is too old to tell
+  // whether its key is valid.
+  void CountConfigurationTooOld();
+  // Sets the time since the configuration in force was last known to be current.
+  void SetConfigurationAge(std::chrono::nanoseconds age);
   // Sets the era of the store in its latest answer.
   void SetStoreEra(StoreEra era);
 
@@ -56,6 +64,9 @@
   prometheus::Gauge& m_configuration;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Gauge& m_store_era;
+  prometheus::Family<prometheus::Counter>& m_callers_denied;
+  prometheus::Family<prometheus::Counter>& m_configuration_too_old;
+  prometheus::Family<prometheus::Gauge>& m_configuration_age;
 };
 
 }  // namespace cardamom
