Sessions: the caller's key is resolved for every statement

Cause: a key was read with CONNECT and not used. Change: KeyGate admits a session and each statement, COMMIT and statements that the session answers itself included, ROLLBACK excepted. An unknown key gets DENIED; a transaction of a withdrawn key is rolled back with DENIED, one of a key that moved or whose configuration is too old with ABORTED; outside a transaction a configuration that is too old gives BUSY with a retry hint. A session waits up to the existing 1.5 s for the first proof of a process. StatementTask::organisation is set. RelaysOf moved from fleet_test.cc to the fakes, unchanged.

--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -27,6 +27,7 @@
   kGroupClosed = 206,
   kStoreRestored = 207,
   kStoreAnswerIgnored = 208,
+  kConfigurationTooOld = 209,
   // 3xx: failover.
   kPrimarySuspected = 300,
   kTermAllocated = 301,
@@ -52,6 +53,7 @@
   kStatementRefused = 406,
   kDatabaseUnknown = 407,
   kStatementForwarded = 408,
+  kCallerDenied = 420,
   // 5xx: connections.
   kEndpointUnreachable = 500,
   kEndpointReachable = 501,
--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -13,11 +13,13 @@
 
 CallerSession::CallerSession(GatewayContext& context,
                              const Directory& directory,
+                             KeyGate& keys,
                              const PathFinder& find_path,
                              DatabaseName database,
                              ApiKey key)
     : m_context(context),
       m_directory(directory),
+      m_keys(keys),
       m_find_path(find_path),
       m_database(std::move(database)),
       m_key(std::move(key)) {}
@@ -27,7 +29,8 @@
   const auto first_byte = m_state == SessionState::kInTransaction ? m_begun_at : m_first_byte_at;
   const auto deadline = m_received_at + route.statement_timeout;
   return {statement,     m_caller,   route,
-          m_received_at, first_byte, std::min(deadline, m_latest_answer.value_or(deadline))};
+          m_received_at, first_byte, std::min(deadline, m_latest_answer.value_or(deadline)),
+          m_organisation};
 }
 
 asio::awaitable<Reply> CallerSession::Execute(Statement statement) {
@@ -54,11 +57,18 @@
     co_return ErrorReply(StatementError::kMalformed, "the transaction failed",
                          SessionState::kFailed);
   }
+  if (auto refusal = CheckKey()) {
+    if (m_state == SessionState::kInTransaction) {
+      co_return co_await RefuseInTransaction(statement.kind, std::move(*refusal));
+    }
+    co_return ErrorReply(refusal->code, std::move(refusal->text), SessionState::kIdle);
+  }
   if (auto local = AnswerLocally(statement)) {
     co_return std::move(*local);
   }
   if (m_refusing_transaction && m_state == SessionState::kInTransaction) {
-    co_return co_await RefuseInTransaction(statement.kind);
+    ReplyError stopping{StatementError::kAborted, kStoppingReason};
+    co_return co_await RefuseInTransaction(statement.kind, std::move(stopping));
   }
   switch (statement.kind) {
     case StatementKind::kBegin:
@@ -75,6 +85,24 @@
   co_return co_await RunOutsideTransaction(statement);
 }
 
+std::optional<ReplyError> CallerSession::CheckKey() {
+  const bool in_transaction = m_state == SessionState::kInTransaction;
+  const auto* route = m_directory.FindRoute(m_database);
+  if (route == nullptr && !in_transaction) {
+    // The statement is refused because of its database.
+    m_organisation = {};
+    return std::nullopt;
+  }
+  const auto& checked = route == nullptr ? m_route : *route;
+  auto admission = in_transaction
+                       ? m_keys.AdmitInTransaction(checked, m_key, m_first_byte_at, m_organisation)
+                       : m_keys.Admit(checked, m_key, m_first_byte_at);
+  if (!admission.refusal) {
+    m_organisation = std::move(admission.organisation);
+  }
+  return std::move(admission.refusal);
+}
+
 std::optional<Reply> CallerSession::AnswerLocally(const Statement& statement) {
   switch (statement.kind) {
     case StatementKind::kSetValue:
@@ -175,10 +203,10 @@
   co_return EmptyReply(SessionState::kIdle);
 }
 
-asio::awaitable<Reply> CallerSession::RefuseInTransaction(StatementKind kind) {
+asio::awaitable<Reply> CallerSession::RefuseInTransaction(StatementKind kind, ReplyError error) {
   co_await End();
   const bool ended = kind == StatementKind::kCommit;
-  co_return ErrorReply(StatementError::kAborted, kStoppingReason,
+  co_return ErrorReply(error.code, std::move(error.text),
                        ended ? SessionState::kIdle : SessionState::kFailed);
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "gateway/directory.h"
+#include "gateway/key_gate.h"
 #include "gateway/statement_path.h"
 
 namespace cardamom {
@@ -16,6 +17,7 @@
  public:
   CallerSession(GatewayContext& context,
                 const Directory& directory,
+                KeyGate& keys,
                 const PathFinder& find_path,
                 DatabaseName database,
                 ApiKey key);
@@ -56,12 +58,15 @@
 
  private:
   asio::awaitable<Reply> Dispatch(const Statement& statement);
+  // Resolves the key for a statement. Returns the reason if the statement must not run.
+  std::optional<ReplyError> CheckKey();
   Reply Begin(const Statement& statement);
   asio::awaitable<Reply> RunOutsideTransaction(const Statement& statement);
   asio::awaitable<Reply> RunInTransaction(const Statement& statement);
   asio::awaitable<Reply> Commit(const Statement& statement);
   asio::awaitable<Reply> Rollback();
-  asio::awaitable<Reply> RefuseInTransaction(StatementKind kind);
+  // Rolls back the open transaction. Returns the reply to the statement of it that was refused.
+  asio::awaitable<Reply> RefuseInTransaction(StatementKind kind, ReplyError error);
   // The reply to a statement that needs no server; nullopt if the statement needs one.
   std::optional<Reply> AnswerLocally(const Statement& statement);
   StatementTask TaskFor(const Statement& statement, const Route& route) const;
@@ -72,6 +77,7 @@
 
   GatewayContext& m_context;
   const Directory& m_directory;
+  KeyGate& m_keys;
   const PathFinder& m_find_path;
   const DatabaseName m_database;
   const ApiKey m_key;
@@ -80,6 +86,9 @@
   bool m_read_only = false;
   // The transaction's route: the one in force at its start, used until its end.
   Route m_route;
+  // The organisation on whose behalf the current statement runs. That of the open transaction, if
+  // there is one.
+  OrganisationName m_organisation;
   std::unique_ptr<OpenTransaction> m_transaction;
   bool m_busy = false;
   bool m_refusing = false;
--- a/src/gateway/session_registry.cc
+++ b/src/gateway/session_registry.cc
@@ -15,21 +15,34 @@
 SessionRegistry::SessionRegistry(GatewayContext& context,
                                  Directory& directory,
                                  PathFinder find_path)
-    : m_context(context), m_directory(directory), m_find_path(std::move(find_path)) {}
+    : m_context(context),
+      m_directory(directory),
+      m_find_path(std::move(find_path)),
+      m_keys(context, directory) {}
 
 asio::awaitable<SessionRegistry::OpenResult> SessionRegistry::Open(DatabaseName database,
                                                                    ApiKey key) {
-  if (!m_directory.IsLoaded() &&
-      !co_await m_directory.WaitUntilLoaded(Clock::now() + kOpenTimeout)) {
+  const auto deadline = Clock::now() + kOpenTimeout;
+  if (!m_directory.IsLoaded() && !co_await m_directory.WaitUntilLoaded(deadline)) {
     co_return ReplyError{StatementError::kBusy, "the configuration is not known yet"};
   }
-  if (m_directory.FindRoute(database) == nullptr) {
+  const auto* route = m_directory.FindRoute(database);
+  if (route != nullptr && NeedsKey(m_directory.configuration(), *route) &&
+      m_context.settings.revoke_ms > 0 && !m_directory.confirmed_at()) {
+    // A process that has just started has no proof yet that its configuration is current.
+    co_await m_directory.WaitUntilConfirmed(deadline);
+    route = m_directory.FindRoute(database);
+  }
+  if (route == nullptr) {
     m_context.events.Emit(EventCode::kDatabaseUnknown,
                           {.detail = database.value() + " is not in version " +
                                      std::to_string(m_directory.configuration().version)});
     co_return ReplyError{StatementError::kUnknownDatabase, database.value()};
   }
-  auto session = std::make_shared<CallerSession>(m_context, m_directory, m_find_path,
+  if (auto refusal = m_keys.RefuseSession(*route, key)) {
+    co_return std::move(*refusal);
+  }
+  auto session = std::make_shared<CallerSession>(m_context, m_directory, m_keys, m_find_path,
                                                  std::move(database), std::move(key));
   if (m_latest_answer) {
     session->SetLatestAnswer(*m_latest_answer);
--- a/src/gateway/session_registry.h
+++ b/src/gateway/session_registry.h
@@ -19,7 +19,7 @@
   // A session, or the reason why none was opened.
   using OpenResult = std::variant<std::shared_ptr<CallerSession>, ReplyError>;
   // Opens a session. Waits up to 1.5 s for the first configuration. Errors: kBusy if none has been
-  // loaded in that time, kUnknownDatabase.
+  // loaded in that time, kUnknownDatabase, and those of KeyGate::RefuseSession.
   asio::awaitable<OpenResult> Open(DatabaseName database, ApiKey key = {});
   // Removes a session whose connection has ended and rolls back its transaction.
   asio::awaitable<void> Close(std::shared_ptr<CallerSession> session);
@@ -54,6 +54,7 @@
   GatewayContext& m_context;
   Directory& m_directory;
   const PathFinder m_find_path;
+  KeyGate m_keys;
   std::list<std::shared_ptr<CallerSession>> m_sessions;
   bool m_closing = false;
   bool m_refusing = false;
--- a/tests/unit/fleet_fakes.cc
+++ b/tests/unit/fleet_fakes.cc
@@ -1,9 +1,12 @@
 #include "fleet_fakes.h"
 
+#include <sstream>
+
 #include <fmt/format.h>
 
 #include "async/notifier.h"
 #include "async/spawn.h"
+#include "membership/rendezvous.h"
 #include "platform/directory_decoders.h"
 
 namespace cardamom::testing {
@@ -135,7 +138,16 @@
     route.group = GroupId(kGroup);
     route.consistency = Consistency::kReadYourWrites;
     route.max_staleness = Millis(500);
-    route.statement_timeout = Millis(std::stoll(std::string(text.substr(colon + 1))));
+    std::istringstream words(std::string(text.substr(colon + 1)));
+    std::int64_t timeout = 0;
+    words >> timeout;
+    route.statement_timeout = Millis(timeout);
+    for (std::string key, organisation; words >> key >> organisation;) {
+      route.is_public = false;
+      const OrganisationName name(organisation);
+      configuration.organisation_of_key[ApiKey(key)] = name;
+      configuration.organisations[name] = {name, {}};
+    }
     configuration.routes[route.database] = route;
     GroupSettings group;
     group.group = route.group;
@@ -233,6 +245,16 @@
   return condition();
 }
 
+SessionRegistry::OpenResult FakeFleet::Open(FakeVm& vm, const std::string& key) {
+  SessionRegistry::OpenResult opened;
+  Run([&]() -> asio::awaitable<void> {
+    const DatabaseName database{kDatabase};
+    const ApiKey api_key{key};
+    opened = co_await vm.gateway->sessions().Open(database, api_key);
+  });
+  return opened;
+}
+
 std::vector<Reply> FakeFleet::Execute(FakeVm& vm, std::vector<Statement> statements) {
   std::vector<Reply> replies;
   Run([&]() -> asio::awaitable<void> {
@@ -248,7 +270,32 @@
 }
 
 void FakeFleet::Configure(std::uint64_t version, Millis timeout) {
-  table.Put("op", "config", fmt::format("{}:{}", version, timeout.count()));
+  Configure(version, timeout, {});
+}
+
+void FakeFleet::Configure(std::uint64_t version,
+                          Millis timeout,
+                          const std::map<std::string, std::string>& organisation_of_key) {
+  auto text = fmt::format("{}:{}", version, timeout.count());
+  for (const auto& [key, organisation] : organisation_of_key) {
+    text += fmt::format(" {} {}", key, organisation);
+  }
+  table.Put("op", "config", text);
+}
+
+std::vector<FakeVm*> RelaysOf(FakeFleet& fleet, const std::string& domain) {
+  std::vector<VmEntry> members;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    VmEntry member;
+    member.id = VmId(fleet.vm(i).settings.vm_id);
+    member.domain = FailureDomain(fleet.vm(i).settings.domain);
+    members.push_back(member);
+  }
+  std::vector<FakeVm*> relays;
+  for (const auto& relay : ChooseRelays(members, FailureDomain(domain), 2)) {
+    relays.push_back(fleet.Find(relay.id.value()));
+  }
+  return relays;
 }
 
 }  // namespace cardamom::testing
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -57,10 +57,16 @@
   void Run(std::function<asio::awaitable<void>()> work);
   // Runs the event loop until `condition` holds, for at most `limit`. Returns whether it held.
   bool RunUntil(const std::function<bool()>& condition, Millis limit);
+  // Opens a session at `vm`.
+  SessionRegistry::OpenResult Open(FakeVm& vm, const std::string& key);
   // Opens a session at `vm` and runs `statements` one after the other.
   std::vector<Reply> Execute(FakeVm& vm, std::vector<Statement> statements);
   // Writes a configuration whose version and statement timeout are given.
   void Configure(std::uint64_t version, Millis timeout);
+  // As above, for a database that is not public, with the organisation of each key.
+  void Configure(std::uint64_t version,
+                 Millis timeout,
+                 const std::map<std::string, std::string>& organisation_of_key);
 
   boost::asio::io_context io;
   FakeGroup fake_group{3};
@@ -75,4 +81,7 @@
   std::vector<std::unique_ptr<FakeVm>> m_vms;
 };
 
+// The relays of a failure domain.
+std::vector<FakeVm*> RelaysOf(FakeFleet& fleet, const std::string& domain);
+
 }  // namespace cardamom::testing
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -23,21 +23,6 @@
   return count;
 }
 
-std::vector<FakeVm*> RelaysOf(FakeFleet& fleet, const std::string& domain) {
-  std::vector<VmEntry> members;
-  for (std::size_t i = 0; i < fleet.size(); ++i) {
-    VmEntry member;
-    member.id = VmId(fleet.vm(i).settings.vm_id);
-    member.domain = FailureDomain(fleet.vm(i).settings.domain);
-    members.push_back(member);
-  }
-  std::vector<FakeVm*> relays;
-  for (const auto& relay : ChooseRelays(members, FailureDomain(domain), 2)) {
-    relays.push_back(fleet.Find(relay.id.value()));
-  }
-  return relays;
-}
-
 // Homes.
 
 RC_GTEST_PROP(HomePlanProperty, LinksNeverExceedTheConnectionsOfAServer, ()) {
