--- a/tests/unit/statement_runner_test.cc
+++ b/tests/unit/statement_runner_test.cc
@@ -226,6 +226,26 @@
   EXPECT_EQ(m_fake_group.acknowledged, (std::vector<std::string>{"x1"}));
 }
 
+// Guards against statements of an organisation on a link that the server knows by another one: a
+// key may move to another organisation during a transaction.
+TEST_F(StatementRunnerTest, ATransactionStaysWithTheOrganisationOfItsLink) {
+  const auto write = MakeWrite("w1", "a");
+  TransactionPin pin;
+  Reply later;
+  m_gateway.Run([&]() -> asio::awaitable<void> {
+    auto task = m_gateway.Task(write, m_caller);
+    task.organisation = OrganisationName("first");
+    const auto begun = co_await m_gateway.runner.RunFirst(m_gateway.group, task, false, pin);
+    EXPECT_TRUE(begun.ok() && pin.lease->organisation == task.organisation);
+    task.organisation = OrganisationName("second");
+    later = co_await m_gateway.runner.RunNext(task, pin);
+  });
+  ASSERT_TRUE(later.error);
+  EXPECT_EQ(later.error->code, StatementError::kAborted);
+  EXPECT_FALSE(pin.IsOpen());
+  EXPECT_TRUE(m_fake_group.acknowledged.empty());
+}
+
 // Guards against a leaving primary, for which no safe successor is found, receiving statements
 // until it stops.
 TEST_F(StatementRunnerTest, APrimaryThatHasBeenLeavingForTooLongGetsNoStatement) {
