Metrics: links by state, links closed for other organisations, waits

Cause: with links that belong to organisations, operators need to see why a statement waits for one.

The pools of a gateway share the counters; the number of links by state is taken when the metrics are read.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -159,10 +159,24 @@
   return m_peers.Handle(std::move(request));
 }
 
+LinkStates Gateway::CountLinks() const {
+  LinkStates links;
+  for (const auto& [id, group] : m_directory.groups()) {
+    for (const auto& [endpoint_id, endpoint] : group->endpoints()) {
+      const auto& pool = *endpoint->pool;
+      links.in_use += pool.leased() - pool.opening();
+      links.idle += pool.open_links() - pool.leased();
+      links.opening += pool.opening();
+    }
+  }
+  return links;
+}
+
 asio::awaitable<HttpResponse> Gateway::HandleOperations(HttpRequest request) {
   HttpResponse response;
   if (request.target == "/metrics") {
     response.content_type = "text/plain; version=0.0.4";
+    m_metrics.SetLinks(CountLinks());
     response.body = m_metrics.Format();
   } else if (request.target == "/v1/events") {
     response.body = EncodeJson(m_events.Snapshot());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,6 +72,7 @@
   asio::awaitable<void> Housekeeping();
   std::shared_ptr<StatementPath> FindPath(const Route& route);
   OutageHooks MakeOutageHooks();
+  LinkStates CountLinks() const;
   std::size_t MaxConnections(const GroupId& group) const;
   asio::awaitable<void> StopGracefully(StopHooks hooks);
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -55,7 +55,26 @@
                       .Name("cardamom_store_era")
                       .Help("Era of the store, which rises when it is restored from a copy")
                       .Register(m_registry)
-                      .Add({})) {}
+                      .Add({})),
+      m_links(prometheus::BuildGauge()
+                  .Name("cardamom_links")
+                  .Help("Links to database servers by state")
+                  .Register(m_registry)),
+      m_links_replaced(prometheus::BuildCounter()
+                           .Name("cardamom_links_replaced_total")
+                           .Help("Links closed to open one for another organisation")
+                           .Register(m_registry)
+                           .Add({})),
+      m_link_waits(prometheus::BuildCounter()
+                       .Name("cardamom_link_waits_total")
+                       .Help("Statements that waited for a link")
+                       .Register(m_registry)
+                       .Add({})),
+      m_link_wait_seconds(prometheus::BuildCounter()
+                              .Name("cardamom_link_wait_seconds_total")
+                              .Help("Time that statements waited for a link")
+                              .Register(m_registry)
+                              .Add({})) {}
 
 void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
   m_statements.Add({{"outcome", outcome}}).Increment();
@@ -95,6 +114,18 @@
   m_store_era.Set(static_cast<double>(era.value()));
 }
 
+void GatewayMetrics::SetLinks(const LinkStates& links) {
+  m_links.Add({{"state", "in_use"}}).Set(static_cast<double>(links.in_use));
+  m_links.Add({{"state", "idle"}}).Set(static_cast<double>(links.idle));
+  m_links.Add({{"state", "opening"}}).Set(static_cast<double>(links.opening));
+  const auto raise = [](prometheus::Counter& counter, double value) {
+    counter.Increment(value - counter.Value());
+  };
+  raise(m_links_replaced, static_cast<double>(m_link_counters->replaced));
+  raise(m_link_waits, static_cast<double>(m_link_counters->waits));
+  raise(m_link_wait_seconds, std::chrono::duration<double>(m_link_counters->waited).count());
+}
+
 std::string GatewayMetrics::Format() {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 // Prometheus metrics of the session gateway.
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include <prometheus/counter.h>
@@ -11,6 +12,7 @@
 
 #include "core/clock.h"
 #include "core/store_position.h"
+#include "pool/link_counters.h"
 
 namespace cardamom {
 
@@ -40,6 +42,11 @@
   void CountStoreCall(const char* outcome);
   // Sets the era of the store in its latest answer.
   void SetStoreEra(StoreEra era);
+  // The counters that all pools share. They are not thread safe: all use, and SetLinks, is on the
+  // thread of the gateway.
+  const std::shared_ptr<LinkCounters>& link_counters() const { return m_link_counters; }
+  // Sets the number of links by state, and exports the counters.
+  void SetLinks(const LinkStates& links);
 
   // All metrics in the Prometheus text format.
   std::string Format();
@@ -56,6 +63,11 @@
   prometheus::Gauge& m_configuration;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Gauge& m_store_era;
+  const std::shared_ptr<LinkCounters> m_link_counters = std::make_shared<LinkCounters>();
+  prometheus::Family<prometheus::Gauge>& m_links;
+  prometheus::Counter& m_links_replaced;
+  prometheus::Counter& m_link_waits;
+  prometheus::Counter& m_link_wait_seconds;
 };
 
 }  // namespace cardamom
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -119,6 +119,7 @@
   const auto pool =
       std::make_shared<LinkPool>(m_context.io, entry, m_context.open_link, LinkLimit());
   pool->SetEager(m_share.every_proxy_is_home);
+  pool->CountIn(m_context.metrics.link_counters());
   ConcurrencyLimit::Options limit;
   limit.min_limit = 1;
   limit.max_limit = std::max<std::size_t>(kMinInProgress, LinkLimit());
--- a/tests/unit/organisation_links_test.cc
+++ b/tests/unit/organisation_links_test.cc
@@ -3,6 +3,7 @@
 
 #include "async/notifier.h"
 #include "async/spawn.h"
+#include "gateway/gateway_metrics.h"
 #include "pool/link_pool.h"
 
 namespace cardamom::testing {
@@ -94,6 +95,22 @@
   EXPECT_EQ(m_opened[OrganisationName("org-23")], 1U);
 }
 
+// Guards against metrics that do not show links that were closed for other organisations, or waits.
+TEST_F(OrganisationLinksTest, MetricsCountClosedLinksAndWaits) {
+  GatewayMetrics metrics;
+  m_pool->SetMaxLinks(1);
+  m_pool->CountIn(metrics.link_counters());
+  for (const auto* name : {"a", "a", "b"}) {
+    Start(name, Millis(5), kLimit);
+  }
+  RunToEnd();
+  metrics.SetLinks({.idle = m_pool->open_links()});
+  const auto text = metrics.Format();
+  EXPECT_NE(text.find("cardamom_links_replaced_total 1\n"), std::string::npos);
+  EXPECT_NE(text.find("cardamom_link_waits_total 2\n"), std::string::npos);
+  EXPECT_NE(text.find("cardamom_links{state=\"idle\"} 1\n"), std::string::npos);
+}
+
 // Guards against a large organisation, with a queue and open transactions, that starves small ones,
 // and against small ones that stop the large one.
 TEST_F(OrganisationLinksTest, ALargeOrganisationLeavesLinksToSmallOnes) {
