--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 // Prometheus metrics of the session gateway.
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include <prometheus/counter.h>
@@ -11,6 +12,7 @@
 
 #include "core/clock.h"
 #include "core/store_position.h"
+#include "pool/link_counters.h"
 
 namespace cardamom {
 
@@ -48,6 +50,11 @@
   void SetConfigurationAge(std::chrono::nanoseconds age);
   // Sets the era of the store in its latest answer.
   void SetStoreEra(StoreEra era);
+  // The counters that all pools share. They are not thread safe: all use, and SetLinks, is on the
+  // thread of the gateway.
+  const std::shared_ptr<LinkCounters>& link_counters() const { return m_link_counters; }
+  // Sets the number of links by state, and exports the counters.
+  void SetLinks(const LinkStates& links);
 
   // All metrics in the Prometheus text format.
   std::string Format();
@@ -67,6 +74,11 @@
   prometheus::Family<prometheus::Counter>& m_callers_denied;
   prometheus::Family<prometheus::Counter>& m_configuration_too_old;
   prometheus::Family<prometheus::Gauge>& m_configuration_age;
+  const std::shared_ptr<LinkCounters> m_link_counters = std::make_shared<LinkCounters>();
+  prometheus::Family<prometheus::Gauge>& m_links;
+  prometheus::Counter& m_links_replaced;
+  prometheus::Counter& m_link_waits;
+  prometheus::Counter& m_link_wait_seconds;
 };
 
 }  // namespace cardamom
