Tests: withdrawn keys with silent relays, and keys after a restore

Cause: the proofs were tested as decisions and with a frozen relay, not where the store stops answering relays or comes back from an older copy. Change: two tests with four proxies on loopback. A proxy that starts behind silent relays is one of the callers' proxies.

--- a/tests/unit/caller_key_test.cc
+++ b/tests/unit/caller_key_test.cc
@@ -189,5 +189,63 @@
   }
 }
 
+// Guards against a proxy that honours a withdrawn key for longer than the bound: one that the store
+// does not answer, the followers of such a relay, and a proxy that starts meanwhile.
+TEST_F(CallerKeyFleetTest, NoProxyHonoursAWithdrawnKeyAfterTheBound) {
+  const auto relays = RelaysOf(m_fleet, "domain-0");
+  std::vector<SessionPtr> sessions;
+  for (std::size_t i = 0; i < m_fleet.size(); ++i) {
+    sessions.push_back(Open("k-mint", i));
+  }
+  Wait(kLimit);
+  for (auto* relay : relays) {
+    relay->store_unresponsive = true;
+  }
+  m_fleet.Configure(++m_version, kTimeout, {{"k-sage", "sage"}});
+  const auto acknowledged_at = Clock::now();
+  auto& started = m_fleet.Add("domain-0", m_fleet.vm(0).settings.listen_peers, true);
+  started.settings.revoke_ms = kRevokeMs;
+  m_fleet.RunUntil([&] { return started.gateway->IsReady(); }, Millis(1000));
+  if (auto opened = m_fleet.Open(started, "k-mint"); std::holds_alternative<SessionPtr>(opened)) {
+    sessions.push_back(std::get<SessionPtr>(opened));
+  }
+  std::size_t honoured = 0;
+  std::vector<StatementError> last(sessions.size());
+  while (Clock::now() < acknowledged_at + Millis(kRevokeMs) + Millis(1500)) {
+    for (std::size_t i = 0; i < sessions.size(); ++i) {
+      const auto sent_at = Clock::now();
+      const auto begun = Run(sessions[i], MakeStatement(StatementKind::kBegin, "b", "BEGIN"));
+      Run(sessions[i], MakeStatement(StatementKind::kRollback, "e", "ROLLBACK"));
+      honoured += begun.ok() ? 1 : 0;
+      EXPECT_TRUE(!begun.ok() || sent_at <= acknowledged_at + Millis(kRevokeMs)) << "proxy " << i;
+      last[i] = begun.ok() ? StatementError::kUnrecognized : begun.error->code;
+    }
+    Wait(Millis(50));
+  }
+  EXPECT_GT(honoured, 0U) << "relays that hear nothing cannot know at once";
+  for (std::size_t i = 0; i < 4; ++i) {
+    const auto expected =
+        m_fleet.vm(i).store_unresponsive ? StatementError::kBusy : StatementError::kDenied;
+    EXPECT_EQ(last[i], expected) << "proxy " << i;
+  }
+}
+
+// Guards against a store restored from an older copy whose answers give a withdrawn key back or
+// count as a proof, and against a fleet that refuses everything after a restore.
+TEST_F(CallerKeyFleetTest, ARestoredStoreGivesNoKeyBackAndProvesAgainOnceItIsWritten) {
+  const auto session = Open("k-mint", 1);
+  const auto kept = Open("k-sage", 1);
+  const auto copy = m_fleet.table.TakeCopy();
+  Configure({{"k-sage", "sage"}});
+  m_fleet.table.Restore(copy);
+  Wait(Millis(kRevokeMs + 2500));
+  ExpectError(Run(session, MakeRead("r-1", "a")), StatementError::kBusy, SessionState::kIdle);
+  ExpectError(Run(kept, MakeRead("r-2", "a")), StatementError::kBusy, SessionState::kIdle);
+  m_fleet.Configure(++m_version, kTimeout, {{"k-sage", "sage"}});
+  Wait(kLimit);
+  ExpectError(Run(session, MakeRead("r-3", "a")), StatementError::kDenied, SessionState::kIdle);
+  EXPECT_TRUE(Run(kept, MakeRead("r-4", "a")).ok());
+}
+
 }  // namespace
 }  // namespace cardamom::testing
