HTTP server: bounds on connections and on the input of requests

Cause: bodies on the addresses for proxies, readiness and metrics filled 70 to 247 MB with 60 connections, and connections had no bound. Change: ChargedSocket charges unanswered input to the account of the context and stops reading while it is full; RESTinio's connection limiter is on. Without an account and a bound nothing changes.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/strand.hpp>
 #include <restinio/all.hpp>
 
+#include "http/charged_socket.h"
+
 namespace cardamom {
 namespace {
 
@@ -33,6 +35,9 @@
 
 struct ServerTraits : public restinio::default_traits_t {
   using connection_state_listener_t = ConnectionListener;
+  using stream_socket_t = ChargedSocket;
+  // Name required by RESTinio.
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT
 };
 
 HttpRequest ToRequest(const restinio::request_t& restinio_request) {
@@ -77,6 +82,7 @@
  public:
   Impl(boost::asio::io_context& context, const HttpServerOptions& options, Hooks hooks)
       : m_context(context), m_hooks(std::move(hooks)), m_address(options.listen_address) {
+    boost::asio::use_service<ChargeService>(m_context).set_account(options.account);
     restinio::incoming_http_msg_limits_t limits;
     limits.max_body_size(options.max_body_bytes)
         .max_field_value_size(options.max_header_bytes)
@@ -85,7 +91,8 @@
     settings.address(options.listen_address.host)
         .port(options.listen_address.port)
         .incoming_http_msg_limits(limits)
-        .max_pipelined_requests(options.max_pipelined_requests)
+        .max_parallel_connections(options.max_connections)
+        .max_pipelined_requests(options.account == nullptr ? options.max_pipelined_requests : 1)
         .handle_request_timeout(options.request_timeout)
         .read_next_http_message_timelimit(options.idle_timeout)
         .write_http_response_timelimit(options.request_timeout)
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +13,7 @@
 #include "core/clock.h"
 #include "http/address.h"
 #include "http/http_message.h"
+#include "limits/memory_account.h"
 
 namespace cardamom {
 
@@ -27,6 +29,11 @@
   // Maximum time from accepting a connection or completing a response until the next request is
   // read completely.
   Millis idle_timeout{300'000};
+  // Connections over this number wait in the listen backlog of the operating system.
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+  // Charged with the input of requests; see ChargedSocket. Then one request is read at a time on a
+  // connection. Servers of one context have the same account. May be null.
+  MemoryAccount* account = nullptr;
 };
 
 // Must outlive the requests in progress. Not thread safe except where noted.
