--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,7 @@
 
   SessionRegistry& sessions() { return m_sessions; }
   EventLog& events() { return m_events; }
+  GatewayMetrics& metrics() { return m_metrics; }
   // Answers a request of another proxy.
   asio::awaitable<HttpResponse> HandlePeer(HttpRequest request);
   // Answers requests for /metrics and /v1/events, and others with status 404.
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -55,7 +55,16 @@
                       .Name("cardamom_store_era")
                       .Help("Era of the store, which rises when it is restored from a copy")
                       .Register(m_registry)
-                      .Add({})) {}
+                      .Add({})),
+      m_limits(prometheus::BuildCounter()
+                   .Name("cardamom_limited_total")
+                   .Help("Callers that were refused or closed at a limit, by limit")
+                   .Register(m_registry)),
+      m_charged_bytes(prometheus::BuildGauge()
+                          .Name("cardamom_charged_bytes")
+                          .Help("Bytes of input, statements, results and session state")
+                          .Register(m_registry)
+                          .Add({})) {}
 
 void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
   m_statements.Add({{"outcome", outcome}}).Increment();
@@ -95,6 +104,14 @@
   m_store_era.Set(static_cast<double>(era.value()));
 }
 
+void GatewayMetrics::CountLimit(const char* limit) {
+  m_limits.Add({{"limit", limit}}).Increment();
+}
+
+void GatewayMetrics::SetChargedBytes(std::size_t bytes) {
+  m_charged_bytes.Set(static_cast<double>(bytes));
+}
+
 std::string GatewayMetrics::Format() {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -41,6 +41,11 @@
   // Sets the era of the store in its latest answer.
   void SetStoreEra(StoreEra era);
 
+  // Counts a caller that was refused or closed at a limit. `limit` is one of a fixed set.
+  void CountLimit(const char* limit);
+  // Sets the bytes that callers, peers and servers fill.
+  void SetChargedBytes(std::size_t bytes);
+
   // All metrics in the Prometheus text format.
   std::string Format();
 
@@ -56,6 +61,8 @@
   prometheus::Gauge& m_configuration;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Gauge& m_store_era;
+  prometheus::Family<prometheus::Counter>& m_limits;
+  prometheus::Gauge& m_charged_bytes;
 };
 
 }  // namespace cardamom
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -1,5 +1,6 @@
 #include "settings/gateway_settings.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -44,6 +45,24 @@
                          "Operations in a window by which usage may exceed a quota."},
     GatewayNumberSetting{"memory-mb", &S::memory_mb, 512, 16, 1'000'000, "MB",
                          "Memory of this VM, from which the limits on buffers follow."},
+    GatewayNumberSetting{"greeting-kb", &S::greeting_kb, 16, 1, 1024, "KB",
+                         "Largest first line of a caller."},
+    GatewayNumberSetting{"message-ms", &S::message_ms, 30'000, 100, 3'600'000, "ms",
+                         "Time from the first byte of a caller's line to its end."},
+    GatewayNumberSetting{"write-ms", &S::write_ms, 5000, 100, 3'600'000, "ms",
+                         "Time for a caller to take a reply, besides its size at write-rate-kb."},
+    GatewayNumberSetting{"write-rate-kb", &S::write_rate_kb, 256, 1, 1'000'000, "KB/s",
+                         "Least rate at which a caller has to take a long reply."},
+    GatewayNumberSetting{"session-values-kb", &S::session_values_kb, 2048, 1, 1'000'000, "KB",
+                         "Session values and prepared statements of one session, together."},
+    GatewayNumberSetting{"session-names", &S::session_names, 4096, 1, 10'000'000, "names",
+                         "Session values and prepared statements of one session, by number."},
+    GatewayNumberSetting{"peer-connections", &S::peer_connections, 256, 1, 1'000'000, "connections",
+                         "Connections accepted at the same time on the address for proxies."},
+    GatewayNumberSetting{"operations-connections", &S::operations_connections, 48, 1, 1'000'000,
+                         "connections",
+                         "Connections accepted at the same time on each address for readiness and "
+                         "metrics."},
     GatewayNumberSetting{
         "direct-vms", &S::direct_vms, 32, 1, 100'000, "VMs",
         "Up to so many proxies hold connections of their own; a larger fleet has homes."},
@@ -86,6 +105,15 @@
   }
 }
 
+// Sizes of queues, and the limits on callers, which are copied when the listeners are created.
+bool IsFixedAtStart(std::int64_t S::*member) {
+  constexpr std::array kFixed = {
+      &S::event_ring,        &S::log_queue_kb,  &S::max_files,        &S::memory_mb,
+      &S::greeting_kb,       &S::message_ms,    &S::write_ms,         &S::write_rate_kb,
+      &S::session_values_kb, &S::session_names, &S::peer_connections, &S::operations_connections};
+  return std::find(kFixed.begin(), kFixed.end(), member) != kFixed.end();
+}
+
 std::optional<double> ParseNumber(const std::string& text) {
   double value = 0;
   const auto* end = text.data() + text.size();
@@ -145,9 +173,7 @@
     if (this->*number.member == reloaded.*number.member) {
       continue;
     }
-    const bool is_fixed_at_start = number.member == &S::event_ring ||
-                                   number.member == &S::log_queue_kb ||
-                                   number.member == &S::max_files || number.member == &S::memory_mb;
+    const bool is_fixed_at_start = IsFixedAtStart(number.member);
     (is_fixed_at_start ? needs_restart_names : changed_names) += fmt::format(" {}", number.name);
     if (!is_fixed_at_start) {
       this->*number.member = reloaded.*number.member;
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -41,6 +41,14 @@
   std::int64_t quota_window_ms = 5000;
   std::int64_t quota_slack = 0;
   std::int64_t memory_mb = 512;
+  std::int64_t greeting_kb = 16;
+  std::int64_t message_ms = 30'000;
+  std::int64_t write_ms = 5000;
+  std::int64_t write_rate_kb = 256;
+  std::int64_t session_values_kb = 2048;
+  std::int64_t session_names = 4096;
+  std::int64_t peer_connections = 256;
+  std::int64_t operations_connections = 48;
   std::string quota_overshoot_text = "0";
 
   // Processor share of this VM: positive in settings that Read returns, 0 if capacity_text is no
@@ -55,9 +63,9 @@
                                           const SettingsEnvironment& environment);
 
   // Copies from `reloaded` the settings that can change while the process runs: the log level and
-  // all numbers except event-ring, log-queue-kb, max-files and memory-mb. Returns a text with the
-  // names of the settings that changed and of those that differ but need a restart. Not thread
-  // safe.
+  // all numbers except event-ring, log-queue-kb, max-files, memory-mb and the limits on callers.
+  // Returns a text with the names of the settings that changed and of those that differ but need a
+  // restart. Not thread safe.
   std::string ApplyReload(const GatewaySettings& reloaded);
 };
 
