Gateway: callers cannot fill the memory or the descriptors

Cause: input, statements, results, session values, prepared names and HTTP bodies had no common bound (51 to 247 MB with crowds of 3 to 100 connections).

--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -58,7 +58,7 @@
     co_return std::move(*local);
   }
   if (m_refusing_transaction && m_state == SessionState::kInTransaction) {
-    co_return co_await RefuseInTransaction(statement.kind);
+    co_return co_await RefuseInTransaction(statement.kind, kStoppingReason);
   }
   switch (statement.kind) {
     case StatementKind::kBegin:
@@ -78,13 +78,14 @@
 std::optional<Reply> CallerSession::AnswerLocally(const Statement& statement) {
   switch (statement.kind) {
     case StatementKind::kSetValue:
-      m_caller.values[statement.name] = statement.value;
-      return EmptyReply(m_state);
     case StatementKind::kPrepare:
-      m_caller.prepared[statement.name] = {statement.access, statement.value};
-      return EmptyReply(m_state);
+      return Store(statement);
     case StatementKind::kDeallocate:
-      m_caller.prepared.erase(statement.name);
+      if (const auto held = m_caller.prepared.find(statement.name);
+          held != m_caller.prepared.end()) {
+        Charge(held->first.size() + held->second.shape.size(), std::nullopt);
+        m_caller.prepared.erase(held);
+      }
       return EmptyReply(m_state);
     case StatementKind::kExecute:
       if (!m_caller.prepared.contains(statement.name)) {
@@ -175,10 +176,70 @@
   co_return EmptyReply(SessionState::kIdle);
 }
 
-asio::awaitable<Reply> CallerSession::RefuseInTransaction(StatementKind kind) {
+asio::awaitable<Reply> CallerSession::Refuse(StatementKind kind, std::string reason) {
+  if (m_state == SessionState::kIdle) {
+    co_return ErrorReply(StatementError::kBusy, std::move(reason), SessionState::kIdle);
+  }
+  m_busy = true;
+  auto reply = co_await RefuseInTransaction(kind, std::move(reason));
+  m_state = reply.state;
+  m_busy = false;
+  co_return reply;
+}
+
+void CallerSession::BoundState(std::unique_ptr<MemoryCharge> charge,
+                               std::size_t max_bytes,
+                               std::size_t max_names) {
+  m_charge = std::move(charge);
+  m_max_state_bytes = max_bytes;
+  m_max_names = max_names;
+}
+
+bool CallerSession::Charge(std::optional<std::size_t> old_bytes,
+                           std::optional<std::size_t> new_bytes) {
+  if (!m_charge) {
+    return true;
+  }
+  // An entry of a map with two strings.
+  constexpr std::size_t kEntryBytes = 160;
+  const auto freed = old_bytes ? *old_bytes + kEntryBytes : 0;
+  const auto taken = new_bytes ? *new_bytes + kEntryBytes : 0;
+  const auto names = m_caller.values.size() + m_caller.prepared.size() + (old_bytes ? 0 : 1);
+  const auto bytes = m_charge->bytes() - freed + taken;
+  const bool grows = taken > freed;
+  return !(grows && (bytes > m_max_state_bytes || names > m_max_names)) &&
+         m_charge->TryResize(bytes);
+}
+
+Reply CallerSession::Store(const Statement& statement) {
+  const bool is_value = statement.kind == StatementKind::kSetValue;
+  std::optional<std::size_t> old_bytes;
+  if (const auto value = m_caller.values.find(statement.name);
+      is_value && value != m_caller.values.end()) {
+    old_bytes = value->first.size() + value->second.size();
+  }
+  if (const auto prepared = m_caller.prepared.find(statement.name);
+      !is_value && prepared != m_caller.prepared.end()) {
+    old_bytes = prepared->first.size() + prepared->second.shape.size();
+  }
+  if (!Charge(old_bytes, statement.name.size() + statement.value.size())) {
+    const auto state = m_state == SessionState::kIdle ? SessionState::kIdle : SessionState::kFailed;
+    return ErrorReply(
+        state == SessionState::kIdle ? StatementError::kBusy : StatementError::kAborted,
+        "the session holds too many values or prepared statements", state);
+  }
+  if (is_value) {
+    m_caller.values[statement.name] = statement.value;
+  } else {
+    m_caller.prepared[statement.name] = {statement.access, statement.value};
+  }
+  return EmptyReply(m_state);
+}
+
+asio::awaitable<Reply> CallerSession::RefuseInTransaction(StatementKind kind, std::string reason) {
   co_await End();
   const bool ended = kind == StatementKind::kCommit;
-  co_return ErrorReply(StatementError::kAborted, kStoppingReason,
+  co_return ErrorReply(StatementError::kAborted, std::move(reason),
                        ended ? SessionState::kIdle : SessionState::kFailed);
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -7,6 +7,7 @@
 
 #include "gateway/directory.h"
 #include "gateway/statement_path.h"
+#include "limits/memory_account.h"
 
 namespace cardamom {
 
@@ -24,6 +25,15 @@
   // no other statement of this session is in progress.
   asio::awaitable<Reply> Execute(Statement statement);
 
+  // Refuses a statement that does not run because of a limit. Rolls back an open transaction.
+  asio::awaitable<Reply> Refuse(StatementKind kind, std::string reason);
+
+  // Bounds the session values and prepared statements, which are then charged to `charge`.
+  // Without this call they have no bound.
+  void BoundState(std::unique_ptr<MemoryCharge> charge,
+                  std::size_t max_bytes,
+                  std::size_t max_names);
+
   // Rolls back the open transaction, if any. Call it when the caller's connection has ended.
   asio::awaitable<void> End();
 
@@ -61,7 +71,12 @@
   asio::awaitable<Reply> RunInTransaction(const Statement& statement);
   asio::awaitable<Reply> Commit(const Statement& statement);
   asio::awaitable<Reply> Rollback();
-  asio::awaitable<Reply> RefuseInTransaction(StatementKind kind);
+  asio::awaitable<Reply> RefuseInTransaction(StatementKind kind, std::string reason);
+  // Charges a name with its value in place of one of `old_bytes`; nullopt stands for none. Returns
+  // whether the session may hold it.
+  bool Charge(std::optional<std::size_t> old_bytes, std::optional<std::size_t> new_bytes);
+  // Stores a session value or prepared statement, or refuses it.
+  Reply Store(const Statement& statement);
   // The reply to a statement that needs no server; nullopt if the statement needs one.
   std::optional<Reply> AnswerLocally(const Statement& statement);
   StatementTask TaskFor(const Statement& statement, const Route& route) const;
@@ -76,6 +91,9 @@
   const DatabaseName m_database;
   const ApiKey m_key;
   CallerState m_caller;
+  std::unique_ptr<MemoryCharge> m_charge;
+  std::size_t m_max_state_bytes = 0;
+  std::size_t m_max_names = 0;
   SessionState m_state = SessionState::kIdle;
   bool m_read_only = false;
   // The transaction's route: the one in force at its start, used until its end.
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -144,7 +144,7 @@
   }
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
-  const auto answer = co_await (*lease)->link->Run(batch.requests, deadline);
+  auto answer = co_await (*lease)->link->Run(batch.requests, deadline);
   const auto now = Clock::now();
   if (answer.failure) {
     lease->Discard();
@@ -173,7 +173,7 @@
       group.OnPrimaryAnswer(endpoint, asked_at, *begun.position);
     }
   }
-  const auto& reply = answer.replies[*batch.statement_index].reply;
+  auto& reply = answer.replies[*batch.statement_index].reply;
   if (answer.replies.back().reply.state != SessionState::kIdle) {
     lease->Discard();
   }
@@ -184,7 +184,7 @@
       group.OnReplicaAnswer(endpoint, *reply.position);
     }
     attempt.status = Attempt::Status::kAnswered;
-    attempt.reply = reply;
+    attempt.reply = std::move(reply);
     attempt.reply.state = SessionState::kIdle;
     co_return attempt;
   }
--- a/src/statement/statement.h
+++ b/src/statement/statement.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,8 @@
 
 namespace cardamom {
 
+class MemoryCharge;
+
 using RequestId = Strong<struct RequestIdTag, std::string>;
 using DatabaseName = Strong<struct DatabaseNameTag, std::string>;
 
@@ -104,6 +107,8 @@
   SessionState state = SessionState::kIdle;
   // The server's log position after the statement.
   std::optional<Position> position;
+  // The memory of the rows, if an account is kept.
+  std::shared_ptr<MemoryCharge> charge;
 
   bool ok() const { return !error.has_value(); }
 };
--- a/tools/gateway_daemon.cc
+++ b/tools/gateway_daemon.cc
@@ -1,5 +1,7 @@
 #include "gateway_daemon.h"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -11,6 +13,8 @@
 #include "async/notifier.h"
 #include "async/spawn.h"
 #include "gateway/gateway.h"
+#include "gateway/limit_log.h"
+#include "limits/memory_account.h"
 #include "platform/gateway_ports.h"
 #include "platform/line_server.h"
 
@@ -22,6 +26,10 @@
 // File descriptors reserved for files, links to servers, and connections to peers and the store.
 constexpr std::int64_t kReservedDescriptors = 500;
 constexpr std::size_t kBytesPerKb = 1024;
+// Requests for readiness and metrics have no body.
+constexpr std::size_t kMaxOperationsBody = 4 << 10;
+// A statement of 1 MiB with its session's values.
+constexpr std::size_t kMaxPeerBody = 4 << 20;
 constexpr Millis kSettingsFileCheckInterval{1000};
 
 std::optional<std::string> FromEnvironment(const std::string& name) {
@@ -49,14 +57,27 @@
   }
 }
 
+// Makes the allocator give large buffers back to the system at once, and the end of its heap when
+// it is free. By default both thresholds grow with the buffers that were used.
+void ReturnFreedMemory() {
+  constexpr int kThresholdBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, kThresholdBytes);
+  mallopt(M_ARENA_MAX, 1);
+}
+
 // The gateway with its listeners and signal handling. Not thread safe.
 class GatewayDaemon {
  public:
   GatewayDaemon(const GatewaySettings& settings, std::vector<std::string> arguments)
       : m_arguments(std::move(arguments)),
         m_settings(settings),
-        m_gateway(m_context, m_settings, platform::MakeGatewayPorts(m_context, m_settings)),
-        m_line_server(m_context, m_gateway.sessions(), MaxConnections()),
+        m_account(MemoryAccount::CapacityOf(static_cast<std::size_t>(settings.memory_mb))),
+        m_gateway(m_context,
+                  m_settings,
+                  platform::MakeGatewayPorts(m_context, m_settings, m_account)),
+        m_limit_log(m_gateway.events(), m_gateway.metrics()),
+        m_line_server(m_context, m_gateway.sessions(), MaxConnections(), MakeCallerLimits()),
         m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
         m_settings_file_time(SettingsFileTime()) {}
 
@@ -67,21 +88,21 @@
     if (!sessions) {
       return ReportError(sessions.error());
     }
-    auto readiness_server = Listen(m_settings.listen_ready, [this](HttpRequest request) {
-      return HandleReadiness(std::move(request));
-    });
+    auto readiness_server =
+        Listen(m_settings.listen_ready, m_settings.operations_connections, kMaxOperationsBody,
+               [this](HttpRequest request) { return HandleReadiness(std::move(request)); });
     if (!readiness_server) {
       return ReportError(readiness_server.error());
     }
-    auto peer_server = Listen(m_settings.listen_peers, [this](HttpRequest request) {
-      return m_gateway.HandlePeer(std::move(request));
-    });
+    auto peer_server =
+        Listen(m_settings.listen_peers, m_settings.peer_connections, kMaxPeerBody,
+               [this](HttpRequest request) { return m_gateway.HandlePeer(std::move(request)); });
     if (!peer_server) {
       return ReportError(peer_server.error());
     }
-    auto metrics_server = Listen(m_settings.listen_metrics, [this](HttpRequest request) {
-      return m_gateway.HandleOperations(std::move(request));
-    });
+    auto metrics_server = Listen(
+        m_settings.listen_metrics, m_settings.operations_connections, kMaxOperationsBody,
+        [this](HttpRequest request) { return m_gateway.HandleOperations(std::move(request)); });
     if (!metrics_server) {
       return ReportError(metrics_server.error());
     }
@@ -99,10 +120,31 @@
         std::max<std::int64_t>(16, m_settings.max_files - kReservedDescriptors));
   }
 
+  platform::CallerLimits MakeCallerLimits() {
+    const auto bytes = [](std::int64_t kilobytes) {
+      return static_cast<std::size_t>(kilobytes) * kBytesPerKb;
+    };
+    platform::CallerLimits limits;
+    limits.account = &m_account;
+    limits.greeting_bytes = bytes(m_settings.greeting_kb);
+    limits.message_timeout = Millis(m_settings.message_ms);
+    limits.write_timeout = Millis(m_settings.write_ms);
+    limits.write_rate = bytes(m_settings.write_rate_kb);
+    limits.state_bytes = bytes(m_settings.session_values_kb);
+    limits.state_names = static_cast<std::size_t>(m_settings.session_names);
+    limits.on_limit = [this](const char* limit) { m_limit_log.Count(limit, Clock::now()); };
+    return limits;
+  }
+
   Outcome<std::unique_ptr<HttpServer>> Listen(const std::string& address,
+                                              std::int64_t max_connections,
+                                              std::size_t max_body_bytes,
                                               HttpServer::Handler handler) {
     HttpServerOptions options;
     options.listen_address = *Address::Parse(address);
+    options.max_connections = static_cast<std::size_t>(max_connections);
+    options.max_body_bytes = max_body_bytes;
+    options.account = &m_account;
     return HttpServer::Create(m_context, options, {std::move(handler), {}, {}});
   }
 
@@ -172,7 +214,9 @@
   boost::asio::io_context m_context{1};
   const std::vector<std::string> m_arguments;
   GatewaySettings m_settings;
+  MemoryAccount m_account;
   Gateway m_gateway;
+  LimitLog m_limit_log;
   platform::LineServer m_line_server;
   boost::asio::signal_set m_signals;
   std::optional<std::filesystem::file_time_type> m_settings_file_time;
@@ -199,6 +243,7 @@
             static_cast<std::size_t>(settings.log_queue_kb) * kBytesPerKb);
         // A write to a connection that the caller has closed must not terminate the process.
         std::signal(SIGPIPE, SIG_IGN);
+        ReturnFreedMemory();
         GatewayDaemon daemon(settings, arguments);
         return daemon.Run();
       },
