--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -87,7 +87,16 @@
                               .Name("cardamom_link_wait_seconds_total")
                               .Help("Time that statements waited for a link")
                               .Register(m_registry)
-                              .Add({})) {}
+                              .Add({})),
+      m_limits(prometheus::BuildCounter()
+                   .Name("cardamom_limited_total")
+                   .Help("Callers that were refused or closed at a limit, by limit")
+                   .Register(m_registry)),
+      m_charged_bytes(prometheus::BuildGauge()
+                          .Name("cardamom_charged_bytes")
+                          .Help("Bytes of input, statements, results and session state")
+                          .Register(m_registry)
+                          .Add({})) {}
 
 void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
   m_statements.Add({{"outcome", outcome}}).Increment();
@@ -151,6 +160,14 @@
   raise(m_link_wait_seconds, std::chrono::duration<double>(m_link_counters->waited).count());
 }
 
+void GatewayMetrics::CountLimit(const char* limit) {
+  m_limits.Add({{"limit", limit}}).Increment();
+}
+
+void GatewayMetrics::SetChargedBytes(std::size_t bytes) {
+  m_charged_bytes.Set(static_cast<double>(bytes));
+}
+
 std::string GatewayMetrics::Format() {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -56,6 +56,11 @@
   // Sets the number of links by state, and exports the counters.
   void SetLinks(const LinkStates& links);
 
+  // Counts a caller that was refused or closed at a limit. `limit` is one of a fixed set.
+  void CountLimit(const char* limit);
+  // Sets the bytes that callers, peers and servers fill.
+  void SetChargedBytes(std::size_t bytes);
+
   // All metrics in the Prometheus text format.
   std::string Format();
 
@@ -79,6 +84,8 @@
   prometheus::Counter& m_links_replaced;
   prometheus::Counter& m_link_waits;
   prometheus::Counter& m_link_wait_seconds;
+  prometheus::Family<prometheus::Counter>& m_limits;
+  prometheus::Gauge& m_charged_bytes;
 };
 
 }  // namespace cardamom
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -65,7 +65,7 @@
   }
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
-  const auto answer = co_await (*lease)->link->Run(batch.requests, deadline);
+  auto answer = co_await (*lease)->link->Run(batch.requests, deadline);
   const auto now = Clock::now();
   if (answer.failure) {
     lease->Discard();
@@ -94,7 +94,7 @@
       group.OnPrimaryAnswer(endpoint, asked_at, *begun.position);
     }
   }
-  const auto& reply = answer.replies[*batch.statement_index].reply;
+  auto& reply = answer.replies[*batch.statement_index].reply;
   if (answer.replies.back().reply.state != SessionState::kIdle) {
     lease->Discard();
   }
@@ -105,7 +105,7 @@
       group.OnReplicaAnswer(endpoint, *reply.position);
     }
     attempt.status = StatementAttempt::Status::kAnswered;
-    attempt.reply = reply;
+    attempt.reply = std::move(reply);
     attempt.reply.state = SessionState::kIdle;
     co_return attempt;
   }
