Group client: split by responsibility

Changed: departed servers, evidence about the primary and the choice of servers for reads have files of their own; the class and the text of its functions are as before. The calls of Acquire stay in group_client.cc.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -1,10 +1,9 @@
+// The servers of the group, the links to them, and the search for the primary.
 #include "gateway/group_client.h"
 
 #include <algorithm>
 #include <random>
 
-#include <fmt/format.h>
-
 #include "async/spawn.h"
 
 namespace cardamom {
@@ -25,14 +24,7 @@
 // proxies that hold its connections.
 constexpr Millis kSearchPauseAtLimit{400};
 constexpr Millis kWarmTimeout{2000};
-constexpr Millis kDepartedRetention{30'000};
-// Servers enter the list with their first heartbeat; until then the list may be incomplete.
-constexpr Millis kListSettles{3000};
 constexpr Millis kConnectionLimitRetention{1000};
-// A server that failed is avoided for this long, doubled with each consecutive failure, the first
-// included.
-constexpr Millis kBackoffBase{100};
-constexpr Millis kMaxBackoff{1000};
 // Base of the expected latency: the work on a statement, and the round trip.
 constexpr Millis kBaseWork{30};
 constexpr Millis kBaseSameDomain{1};
@@ -45,8 +37,6 @@
 // Statements that may wait at one home for one server, and the longest expected wait of a read.
 constexpr std::size_t kQueueCapacity = 200;
 constexpr Millis kLongestQueueing{3000};
-// A replica is asked only for positions older than its estimated lag by this margin.
-constexpr Millis kLagMargin{20};
 // Part of the drain time kept free for proxies to learn that a server is leaving, and for
 // statements to reach it.
 constexpr Millis kDrainMargin{2000};
@@ -55,8 +45,6 @@
 constexpr Millis kLongestTakeover{2500};
 // How long a takeover waits for a link that was opened early enough.
 constexpr Millis kOldLinkWait{40};
-// A lag estimate is used for this long without a new answer.
-constexpr Millis kLagEstimateLifetime{700};
 
 asio::awaitable<Outcome<LinkPool::Lease>> AcquireControl(std::shared_ptr<LinkPool> pool,
                                                          ControlRequest request,
@@ -75,16 +63,6 @@
   co_return co_await pool->Acquire({}, LinkUse::kControl, deadline);
 }
 
-void RecordPosition(DepartedServer& server, BootTime asked_at, Position position) {
-  const auto record = [&](std::optional<Position>& least, Millis gone_for) {
-    if (asked_at >= server.departed_at + gone_for) {
-      least = std::min(least.value_or(position), position);
-    }
-  };
-  record(server.position_after_exit, kGoneAfterProcessExit);
-  record(server.position_after_no_answer, kGoneAfterNoAnswer);
-}
-
 EndpointRequest OwnRequest(EndpointOperation operation, Term term = {}) {
   EndpointRequest request;
   request.operation = operation;
@@ -171,106 +149,6 @@
   }
 }
 
-void GroupClient::DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed) {
-  const auto now = Clock::now();
-  std::erase_if(m_departed,
-                [&](DepartedServer& server) { return ForgetDeparted(server, listed, now); });
-  for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
-    const auto found = listed.find(it->first);
-    const bool same = found != listed.end() &&
-                      found->second->address == it->second->entry.address &&
-                      found->second->started_ms == it->second->entry.started_ms;
-    if (same) {
-      ++it;
-      continue;
-    }
-    DepartedServer departed;
-    departed.endpoint = it->second;
-    departed.since = now;
-    departed.departed_at = BootClock::now();
-    departed.restarted = found != listed.end();
-    departed.was_primary = IsLatestPrimary(it->second);
-    departed.announced = it->second->entry.leaving;
-    m_departed.push_back(std::move(departed));
-    it->second->pool->Retire();
-    m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
-    if (m_primary == it->first) {
-      m_primary.reset();
-    }
-    it = m_endpoints.erase(it);
-  }
-}
-
-bool GroupClient::ForgetDeparted(DepartedServer& server,
-                                 const std::map<EndpointId, const EndpointEntry*>& listed,
-                                 TimePoint now) {
-  const auto& entry = server.endpoint->entry;
-  const auto found = listed.find(entry.id);
-  if (!server.restarted && found != listed.end()) {
-    if (found->second->started_ms == entry.started_ms) {
-      return true;
-    }
-    server.restarted = true;
-  }
-  const auto& position =
-      server.restarted ? server.position_after_exit : server.position_after_no_answer;
-  if (now - server.since <= kDepartedRetention || !position) {
-    return false;
-  }
-  m_departed_position = std::max(m_departed_position.value_or(*position), *position);
-  return true;
-}
-
-void GroupClient::ExpectServers(const std::vector<ServerIncarnation>& servers) {
-  for (const auto& server : servers) {
-    if (!m_first_listed || !m_known_processes.emplace(server.endpoint, server.started_ms).second) {
-      continue;
-    }
-    EndpointEntry entry;
-    entry.id = server.endpoint;
-    entry.group = m_id;
-    entry.started_ms = server.started_ms;
-    DepartedServer departed;
-    departed.endpoint = std::make_shared<Endpoint>(entry, nullptr, nullptr, Duration::zero());
-    departed.since = *m_first_listed;
-    departed.departed_at = m_first_listed_at;
-    departed.restarted = m_endpoints.contains(server.endpoint);
-    // The one server that may be lost, if it is the only one.
-    departed.was_primary = !m_latest_primary;
-    departed.never_listed = true;
-    departed.position_after_exit =
-        m_watermarks.PositionCovering(departed.departed_at + kGoneAfterProcessExit);
-    departed.position_after_no_answer =
-        m_watermarks.PositionCovering(departed.departed_at + kGoneAfterNoAnswer);
-    m_departed.push_back(std::move(departed));
-  }
-}
-
-bool GroupClient::IsLatestPrimary(const EndpointPtr& endpoint) const {
-  return m_latest_primary ? m_latest_primary == endpoint : endpoint->entry.claims_primary;
-}
-
-std::vector<DepartedServer> GroupClient::Departed() const {
-  return m_departed;
-}
-
-ServerListSnapshot GroupClient::SnapshotServerList() const {
-  ServerListSnapshot snapshot;
-  snapshot.changing = !IsListSettled() ||
-                      std::any_of(m_departed.begin(), m_departed.end(),
-                                  [](const DepartedServer& server) { return !server.announced; });
-  for (const auto& [id, endpoint] : m_endpoints) {
-    snapshot.servers.push_back({id, endpoint->entry.started_ms});
-    snapshot.changing = snapshot.changing || endpoint->entry.leaving;
-  }
-  return snapshot;
-}
-
-bool GroupClient::IsListSettled() const {
-  const auto now = Clock::now();
-  return m_first_listed && now - *m_first_listed > kListSettles && now >= m_list_settles_at;
-}
-
 bool GroupClient::IsAtConnectionLimit() const {
   return Clock::now() - m_connection_limit_seen_at < kConnectionLimitRetention;
 }
@@ -341,40 +219,6 @@
   co_return usable() ? primary() : nullptr;
 }
 
-std::vector<GroupClient::EndpointPtr> GroupClient::ServersForRead(
-    std::optional<Position> position,
-    const std::vector<EndpointId>& tried) const {
-  const auto now = Clock::now();
-  const auto boot_now = BootClock::now();
-  const auto covered = position ? m_watermarks.FirstCoveredAt(*position) : std::nullopt;
-  std::vector<ServerCandidate> options;
-  for (const auto& [id, endpoint] : m_endpoints) {
-    if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
-      continue;
-    }
-    ServerCandidate option;
-    option.endpoint = id;
-    option.is_primary = m_primary == id;
-    option.reachable = now >= endpoint->backoff_until && !endpoint->entry.leaving;
-    if (option.is_primary) {
-      option.reachable = !m_health.failing_since && !IsDrained(*endpoint);
-    }
-    // A replica holds the position if it lags by less than the position's age.
-    const auto lag = boot_now - endpoint->lag_updated_at < kLagEstimateLifetime ? endpoint->lag
-                                                                                : Duration::zero();
-    option.fresh = position &&
-                   (lag == Duration::zero() || (covered && boot_now - *covered > lag + kLagMargin));
-    option.expected_latency = endpoint->latency.ExpectedLatency(now);
-    option.outstanding = endpoint->outstanding;
-    options.push_back(option);
-  }
-  std::vector<EndpointPtr> servers;
-  for (const auto& id : RankServers(options, ServerChoicePolicy())) {
-    servers.push_back(Find(id));
-  }
-  return servers;
-}
-
 asio::awaitable<std::optional<Position>> GroupClient::DetermineWatermark(BootTime not_before,
                                                                          TimePoint deadline) {
   for (;;) {
@@ -537,165 +381,4 @@
   m_searching = false;
 }
 
-void GroupClient::SetPrimary(const EndpointPtr& endpoint, Term term, const char* source) {
-  m_latest_primary = endpoint;
-  if (m_primary == endpoint->entry.id && m_term == term) {
-    return;
-  }
-  m_primary = endpoint->entry.id;
-  m_term = std::max(m_term, term);
-  m_health = PrimaryHealth();
-  m_context.events.Emit(
-      EventCode::kTermLearned,
-      {.group = m_id, .endpoint = endpoint->entry.id, .term = term, .detail = source});
-}
-
-void GroupClient::OnPrimaryAnswer(const EndpointPtr& endpoint,
-                                  BootTime asked_at,
-                                  Position position) {
-  // A position carries the term of the last log entry, which may be older than the primary's own
-  // term. So the answer to the latest request decides which server is the primary.
-  if (m_primary != endpoint->entry.id && asked_at < m_primary_asked_at) {
-    return;
-  }
-  m_primary_asked_at = std::max(m_primary_asked_at, asked_at);
-  SetPrimary(endpoint, position.term, "answer");
-  CheckForMissingCommit(*endpoint, asked_at, position);
-  m_watermarks.Add(asked_at, position);
-  endpoint->last_position = std::max(endpoint->last_position, position);
-  for (auto& server : m_departed) {
-    RecordPosition(server, asked_at, position);
-  }
-  if (m_departed_position) {
-    m_departed_position = std::min(*m_departed_position, position);
-  }
-  m_last_primary_answer_at = Clock::now();
-  m_lost_since.reset();
-  endpoint->consecutive_failures = 0;
-  endpoint->backoff_until = {};
-  const bool recovered = m_health.failing_since.has_value();
-  m_health.failing_since.reset();
-  m_health.failures = 0;
-  if (recovered) {
-    m_context.events.Emit(EventCode::kEndpointReachable,
-                          {.group = m_id, .endpoint = endpoint->entry.id});
-  }
-  m_changed.NotifyAll();
-}
-
-void GroupClient::OnCommitAcknowledged(Position position) {
-  if (m_acknowledged < position) {
-    m_acknowledged = position;
-    m_acknowledged_at = BootClock::now();
-  }
-}
-
-void GroupClient::CheckForMissingCommit(const Endpoint& endpoint,
-                                        BootTime asked_at,
-                                        Position position) {
-  // Numbers in a log grow over all terms.
-  const bool missing = asked_at > m_acknowledged_at && position.index < m_acknowledged.index;
-  if (!missing || m_reported_missing == m_acknowledged) {
-    return;
-  }
-  m_reported_missing = m_acknowledged;
-  m_context.metrics.CountCommitMissing();
-  m_context.events.Emit(
-      EventCode::kCommitMissing,
-      {.group = m_id,
-       .endpoint = endpoint.entry.id,
-       .term = m_term,
-       .detail = fmt::format("at {}.{}, acknowledged {}.{}", position.term.value(),
-                             position.index.value(), m_acknowledged.term.value(),
-                             m_acknowledged.index.value())});
-}
-
-void GroupClient::OnReplicaAnswer(const EndpointPtr& endpoint, Position applied) {
-  const auto now = BootClock::now();
-  endpoint->last_position = std::max(endpoint->last_position, applied);
-  endpoint->lag = m_watermarks.LagOf(applied, now);
-  endpoint->lag_updated_at = now;
-  endpoint->consecutive_failures = 0;
-  endpoint->backoff_until = {};
-}
-
-void GroupClient::OnReplicaBehind(const EndpointPtr& endpoint, Position needed) {
-  const auto now = BootClock::now();
-  const auto covered = m_watermarks.FirstCoveredAt(needed);
-  // A position that no sample covers yet is newer than all samples.
-  const auto least = covered ? std::chrono::duration_cast<Duration>(now - *covered) : kLagMargin;
-  endpoint->lag = std::max(endpoint->lag, least);
-  endpoint->lag_updated_at = now;
-}
-
-void GroupClient::OnNotPrimary(const EndpointPtr& endpoint) {
-  if (m_primary != endpoint->entry.id) {
-    return;
-  }
-  m_context.events.Emit(EventCode::kPrimaryLostLead,
-                        {.group = m_id, .endpoint = endpoint->entry.id, .term = m_term});
-  m_primary.reset();
-  RecordPrimaryLost();
-  StartSearch();
-}
-
-void GroupClient::OnLinkFailure(const EndpointPtr& endpoint, const Error& error) {
-  const auto now = Clock::now();
-  if (error.code == ResultCode::kDeadlineExpired) {
-    // The wait for a link expired at this proxy, which is no evidence against the server.
-    return;
-  }
-  if (error.code == ResultCode::kOverloaded) {
-    m_connection_limit_seen_at = now;
-    return;
-  }
-  const bool refused = error.code == ResultCode::kConnectionRefused;
-  ++endpoint->consecutive_failures;
-  const auto pause = std::min<Millis>(
-      kMaxBackoff, kBackoffBase * (1 << std::min(endpoint->consecutive_failures, 4)));
-  endpoint->backoff_until = now + pause;
-  if (refused) {
-    endpoint->pool->CloseIdle();
-  }
-  m_context.events.Emit(EventCode::kEndpointUnreachable,
-                        {.group = m_id,
-                         .endpoint = endpoint->entry.id,
-                         .detail = fmt::format("{} failures, avoided for {} ms, {}: {}",
-                                               endpoint->consecutive_failures, pause.count(),
-                                               InfoOf(error.code).name, error.detail)});
-  if (m_primary != endpoint->entry.id) {
-    return;
-  }
-  ++m_health.failures;
-  m_health.refused = refused;
-  if (!m_health.failing_since) {
-    m_health.failing_since = now;
-  }
-  RecordPrimaryLost();
-  StartSearch();
-}
-
-void GroupClient::OnStatementFailure(const EndpointPtr& endpoint, const Error& error) {
-  if (error.code != ResultCode::kNoAnswer || m_primary != endpoint->entry.id) {
-    OnLinkFailure(endpoint, error);
-    return;
-  }
-  const auto self = shared_from_this();
-  Spawn(m_context.io, [self]() -> asio::awaitable<void> { co_await self->ProbePrimary(); });
-}
-
-void GroupClient::ResetFailureEvidence() {
-  if (m_health.failing_since) {
-    m_health.failing_since = Clock::now();
-    m_health.failures = 0;
-  }
-  ClearStallEvidence();
-}
-
-void GroupClient::OnCommitOverdue(TimePoint since) {
-  if (!m_health.stalled_since || *m_health.stalled_since < since) {
-    m_health.stalled_since = since;
-  }
-}
-
 }  // namespace cardamom
