--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -100,6 +100,8 @@
                   "Another proxy does not answer; its groups are asked elsewhere."},
     EventCodeInfo{EventCode::kPeerReachable, "peer_reachable", "info",
                   "Another proxy answers again."},
+    EventCodeInfo{EventCode::kMemberRemoved, "member_removed", "info",
+                  "The row of a VM that is gone was removed from the members."},
 };
 
 }  // namespace
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -126,6 +126,10 @@
   if (vms == m_vms) {
     return;
   }
+  std::erase_if(m_silent, [&](const std::string& vm) {
+    const auto entry = vms.find(vm);
+    return entry == vms.end() || entry->second != m_vms[vm];
+  });
   m_vms = std::move(vms);
   m_members_changed_at = Clock::now();
   m_homes.clear();
@@ -169,6 +173,38 @@
                                       : 3;
 }
 
+std::vector<VmEntry> Fleet::AnsweringVms() const {
+  auto answering = vms();
+  std::erase_if(answering, [this](const VmEntry& vm) {
+    return vm.id != m_self.id && m_silent.contains(vm.id.value());
+  });
+  return answering;
+}
+
+void Fleet::SetSilent(const std::string& vm, bool silent) {
+  const bool changed = silent ? m_silent.insert(vm).second : m_silent.erase(vm) > 0;
+  if (!changed) {
+    return;
+  }
+  m_homes.clear();
+  if (m_on_change) {
+    m_on_change();
+  }
+}
+
+bool Fleet::AreHomesReplaced(const GroupId& group, std::size_t max_connections) const {
+  return FindHomes(group, max_connections).replaced;
+}
+
+std::vector<VmEntry> Fleet::ReplacementsFor(const GroupId& group,
+                                            std::size_t max_connections) const {
+  if (!FindHomes(group, max_connections).replaced) {
+    return {};
+  }
+  const auto answering = AnsweringVms();
+  return ChooseHomes(answering, "home/" + group.value(), answering.size());
+}
+
 const Fleet::HomeAssignment& Fleet::FindHomes(const GroupId& group,
                                               std::size_t max_connections) const {
   const auto count = Plan(max_connections).homes;
@@ -178,9 +214,15 @@
   }
   homes.count = count;
   homes.vms = ChooseHomes(vms(), "home/" + group.value(), count);
+  homes.is_first_home = !homes.vms.empty() && homes.vms.front().id == m_self.id;
+  homes.replaced = std::all_of(homes.vms.begin(), homes.vms.end(), [this](const VmEntry& vm) {
+    return m_silent.contains(vm.id.value());
+  });
+  if (homes.replaced) {
+    homes.vms = ChooseHomes(AnsweringVms(), "home/" + group.value(), count);
+  }
   homes.is_home = std::any_of(homes.vms.begin(), homes.vms.end(),
                               [this](const VmEntry& vm) { return vm.id == m_self.id; });
-  homes.is_first_home = !homes.vms.empty() && homes.vms.front().id == m_self.id;
   // Ranking by this proxy's id spreads proxies at the same distance over the homes.
   homes.vms = RankVms(homes.vms, m_self.id.value());
   std::stable_sort(homes.vms.begin(), homes.vms.end(),
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -51,13 +51,20 @@
   // The number of homes of a group whose servers accept `max_connections` each, and of links per
   // home. One home and one link until the list has settled.
   HomePlan Plan(std::size_t max_connections) const;
-  // The homes of a group, those nearest to this proxy first. Valid until the list or
-  // `max_connections` changes.
+  // The homes of a group, those nearest to this proxy first. Valid until the list,
+  // the silent VMs or `max_connections` change.
   const std::vector<VmEntry>& HomesOf(const GroupId& group, std::size_t max_connections) const;
+  // Records whether `vm` answers none of this proxy's requests. While all homes of a group by the
+  // list are silent, the next VMs of the ranking that are not silent take their place.
+  void SetSilent(const std::string& vm, bool silent);
+  bool AreHomesReplaced(const GroupId& group, std::size_t max_connections) const;
+  // VMs to try as homes of the group, best first, if all its homes by the list are silent;
+  // otherwise none.
+  std::vector<VmEntry> ReplacementsFor(const GroupId& group, std::size_t max_connections) const;
   // Whether this proxy is a home of the group.
   bool IsHome(const GroupId& group, std::size_t max_connections) const;
-  // Whether this proxy is the first of the group's homes. Exactly one proxy is, provided that all
-  // proxies have the same list.
+  // Whether this proxy is the first of the group's homes by the list. Exactly one proxy is,
+  // provided that all proxies have the same list.
   bool IsFirstHome(const GroupId& group, std::size_t max_connections) const;
   // Whether every proxy of the fleet is a home of a group whose servers accept `max_connections`
   // each.
@@ -77,6 +84,8 @@
     std::vector<VmEntry> vms;
     bool is_home = false;
     bool is_first_home = false;
+    // All homes by the list are silent.
+    bool replaced = false;
   };
 
   // Writes this proxy's row if it is missing or differs from m_self.
@@ -87,6 +96,8 @@
   void AdoptRows();
   const HomeAssignment& FindHomes(const GroupId& group, std::size_t max_connections) const;
   int DistanceTo(const VmEntry& vm) const;
+  // The VMs of the list that are not silent.
+  std::vector<VmEntry> AnsweringVms() const;
 
   GatewayContext& m_context;
   const TablePort m_table;
@@ -97,6 +108,8 @@
   // Proxies whose row showed that they leave, until the row is written anew. A store that was
   // restored from an older copy may show them as members again.
   std::set<std::string> m_left;
+  // VMs that do not answer this proxy.
+  std::set<std::string> m_silent;
   std::size_t m_domain_count = 1;
   // Cached homes by group; cleared when the list changes.
   mutable std::map<GroupId, HomeAssignment> m_homes;
--- a/src/fleet/home_client.cc
+++ b/src/fleet/home_client.cc
@@ -28,6 +28,17 @@
 // A home that reported that it does not reach the primary of a group is asked again after this
 // time, which is about as long as a probe of the primary takes.
 constexpr Millis kCannotServeRetryDelay{300};
+// Consecutive failures after which a peer counts as silent: with the pings that follow the first
+// failure, about 1 s.
+constexpr int kSilentAfterFailures = 3;
+// VMs pinged at the same time in the search for replacements of silent homes, and the time that one
+// search may take. With ten rows of VMs that are gone for each that answers, the search takes some
+// seconds.
+constexpr std::size_t kReplacementsPinged = 16;
+constexpr Millis kReplacementSearchTime{10'000};
+constexpr Millis kReplacementSearchPause{100};
+// A VM that answered this recently is not pinged in that search.
+constexpr Millis kRecentResponse{3000};
 constexpr int kOk = 200;
 
 // One outstanding request; it outlives a caller that stops waiting for it.
@@ -55,25 +66,82 @@
 
 void HomeClient::OnResponse(Peer& peer) {
   peer.last_response_at = Clock::now();
-  peer.failures = 0;
+  const bool was_silent = std::exchange(peer.failures, 0) >= kSilentAfterFailures;
   if (!peer.alive) {
     peer.alive = true;
     m_context.events.Emit(EventCode::kPeerReachable, {.detail = peer.vm});
   }
+  if (was_silent && m_on_silence) {
+    m_on_silence(peer.vm, false);
+  }
 }
 
-void HomeClient::OnFailure(Peer& peer, const std::string& reason) {
-  const auto pause = kBackoffBase * (1 << std::min(peer.failures, kMaxBackoffDoublings));
-  ++peer.failures;
-  peer.backoff_until = Clock::now() + pause;
-  if (peer.alive) {
-    peer.alive = false;
+void HomeClient::OnFailure(const PeerPtr& peer, const std::string& reason) {
+  const auto pause = kBackoffBase * (1 << std::min(peer->failures, kMaxBackoffDoublings));
+  ++peer->failures;
+  peer->backoff_until = Clock::now() + pause;
+  if (peer->alive) {
+    peer->alive = false;
     m_context.events.Emit(
         EventCode::kPeerUnreachable,
-        {.detail = fmt::format("{}: {}; avoided for {} ms", peer.vm, reason, pause.count())});
+        {.detail = fmt::format("{}: {}; avoided for {} ms", peer->vm, reason, pause.count())});
+  }
+  if (peer->failures >= kSilentAfterFailures && m_on_silence) {
+    m_on_silence(peer->vm, true);
+  }
+  StartRecovery(peer);
+}
+
+void HomeClient::StartRecovery(const PeerPtr& peer) {
+  if (!peer->recovering && m_fleet.Find(peer->vm) != nullptr) {
+    peer->recovering = true;
+    Spawn(m_context.io, [this, peer]() -> asio::awaitable<void> { co_await Recover(peer); });
   }
 }
 
+bool HomeClient::IsAvoided(const PeerPtr& peer) {
+  if (!peer->alive) {
+    // Its recovery ended if it was not listed for a while.
+    StartRecovery(peer);
+  }
+  return !peer->alive || Clock::now() < peer->backoff_until;
+}
+
+asio::awaitable<void> HomeClient::Recover(PeerPtr peer) {
+  while (!peer->alive && m_fleet.Find(peer->vm) != nullptr && m_peers[peer->vm] == peer) {
+    if (Clock::now() < peer->backoff_until) {
+      co_await Sleep(peer->backoff_until - Clock::now());
+    } else {
+      co_await Ping(peer);
+    }
+  }
+  peer->recovering = false;
+}
+
+asio::awaitable<void> HomeClient::SearchReplacements(GroupId group, std::size_t max_connections) {
+  const auto until = Clock::now() + kReplacementSearchTime;
+  while (Clock::now() < until) {
+    auto vms = m_fleet.ReplacementsFor(group, max_connections);
+    vms.resize(std::min(vms.size(), kReplacementsPinged));
+    bool unknown = false;
+    for (const auto& vm : vms) {
+      const auto peer = vm.id == m_fleet.self().id ? nullptr : PeerOf(vm);
+      if (!peer || (peer->alive && Clock::now() - peer->last_response_at < kRecentResponse)) {
+        continue;
+      }
+      unknown = true;
+      if (peer->alive && !peer->pinging) {
+        Spawn(m_context.io, [this, peer]() -> asio::awaitable<void> { co_await Ping(peer); });
+      }
+    }
+    if (!unknown) {
+      break;
+    }
+    co_await Sleep(kReplacementSearchPause);
+  }
+  m_searching.erase(group);
+}
+
 HomeClient::Candidate HomeClient::Choose(const GroupId& group,
                                          std::size_t max_connections,
                                          const std::vector<std::string>& tried) {
@@ -89,10 +157,12 @@
     const auto cannot_serve_entry = peer->cannot_serve_until.find(group);
     const bool home_cannot_serve =
         cannot_serve_entry != peer->cannot_serve_until.end() && now < cannot_serve_entry->second;
-    if (now >= peer->backoff_until && !home_cannot_serve) {
+    // A peer that failed gets no statement until it has answered a ping, see Recover.
+    const bool avoided = IsAvoided(peer);
+    if (!avoided && !home_cannot_serve) {
       return {&home, false, false};
     }
-    auto& fallback = now < peer->backoff_until ? in_backoff : cannot_serve;
+    auto& fallback = avoided ? in_backoff : cannot_serve;
     fallback = fallback == nullptr ? &home : fallback;
   }
   if (cannot_serve != nullptr) {
@@ -103,7 +173,7 @@
 
 bool HomeClient::IsInBackoff(const VmEntry& vm) {
   const auto peer = PeerOf(vm);
-  return !peer || Clock::now() < peer->backoff_until;
+  return !peer || IsAvoided(peer);
 }
 
 asio::awaitable<Outcome<HttpResponse>> HomeClient::Send(const VmEntry& vm,
@@ -115,14 +185,14 @@
   }
   auto lease = co_await peer->pool->Acquire(std::min(deadline, Clock::now() + kConnectTimeout));
   if (!lease) {
-    OnFailure(*peer, lease.error().detail);
+    OnFailure(peer, lease.error().detail);
     co_return lease.error();
   }
   auto answer = co_await lease->connection().Send(std::move(request), deadline);
   if (answer) {
     OnResponse(*peer);
   } else {
-    OnFailure(*peer, answer.error().detail);
+    OnFailure(peer, answer.error().detail);
   }
   co_return answer;
 }
@@ -147,7 +217,7 @@
   if (answered) {
     OnResponse(*peer);
   } else {
-    OnFailure(*peer, "no answer to a ping");
+    OnFailure(peer, "no answer to a ping");
   }
   peer->pinging = false;
   peer->ping_done.NotifyAll();
@@ -174,7 +244,7 @@
   if (!lease) {
     result.reason = lease.error().detail;
     if (lease.error().code != ResultCode::kOverloaded) {
-      OnFailure(*peer, result.reason);
+      OnFailure(peer, result.reason);
     }
     co_return result;
   }
@@ -228,7 +298,7 @@
     result.status = ForwardResult::Status::kUnknown;
     result.reason = exchange->answer ? exchange->answer->error().detail : "no answer in time";
     if (exchange->answer && Clock::now() < times.deadline) {
-      OnFailure(*peer, result.reason);
+      OnFailure(peer, result.reason);
     }
     co_return result;
   }
@@ -264,6 +334,11 @@
                                                    const ForwardOptions& options) {
   ForwardResult result;
   result.reason = "no home is known";
+  if (m_fleet.AreHomesReplaced(group, max_connections) && m_searching.insert(group).second) {
+    Spawn(m_context.io, [this, group, max_connections]() -> asio::awaitable<void> {
+      co_await SearchReplacements(group, max_connections);
+    });
+  }
   std::vector<std::string> tried;
   int attempts = 0;
   int cannot_serve_answers = 0;
--- a/src/fleet/home_client.h
+++ b/src/fleet/home_client.h
@@ -1,8 +1,10 @@
 // Forwards statements to the home proxies of a group and tracks which of them respond.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +57,12 @@
   // The references must outlive the object.
   HomeClient(GatewayContext& context, const Fleet& fleet) : m_context(context), m_fleet(fleet) {}
 
+  // Sets the function that is called when a peer has failed kSilentAfterFailures times in a row,
+  // and when such a peer answers again.
+  void set_on_silence(std::function<void(const std::string& vm, bool silent)> hook) {
+    m_on_silence = std::move(hook);
+  }
+
   // Forwards `message` to the best home and, while no home has accepted the statement, to the next
   // ones. A statement that may be repeated also goes to another home if one stops responding. The
   // times and the sender in `message` are set when it is sent.
@@ -71,8 +79,7 @@
                                                const ForwardTimes& times,
                                                bool may_abandon);
 
-  // Whether `vm` has no usable address or is in back-off because it recently did not answer or did
-  // not accept a statement.
+  // Whether `vm` has no usable address, or recently did not answer or did not accept a statement.
   bool IsInBackoff(const VmEntry& vm);
 
   // Sends any request to a peer, waits for the response until `deadline`, and records whether the
@@ -90,6 +97,8 @@
     TimePoint last_response_at;
     int failures = 0;
     bool pinging = false;
+    // A coroutine pings the peer until it answers.
+    bool recovering = false;
     bool alive = true;
     Notifier ping_done;
     // Groups whose primary the peer reported that it does not reach, with the time until which the
@@ -110,14 +119,25 @@
   Candidate Choose(const GroupId& group,
                    std::size_t max_connections,
                    const std::vector<std::string>& tried);
+  // Whether a peer gets no request while another can: it failed and has not answered a ping since,
+  // or is in back-off.
+  bool IsAvoided(const PeerPtr& peer);
+  void StartRecovery(const PeerPtr& peer);
+  // Pings a peer that failed until it answers or is not listed any more.
+  asio::awaitable<void> Recover(PeerPtr peer);
+  // If all homes of the group by the list are silent: pings the VMs that may replace them, several
+  // at a time, until it is known which of them answer.
+  asio::awaitable<void> SearchReplacements(GroupId group, std::size_t max_connections);
   // Whether the peer answers a ping on a new connection. Concurrent calls share one ping.
   asio::awaitable<bool> Ping(PeerPtr peer);
   void OnResponse(Peer& peer);
-  void OnFailure(Peer& peer, const std::string& reason);
+  void OnFailure(const PeerPtr& peer, const std::string& reason);
 
   GatewayContext& m_context;
   const Fleet& m_fleet;
   std::map<std::string, PeerPtr> m_peers;
+  std::function<void(const std::string&, bool)> m_on_silence;
+  std::set<GroupId> m_searching;
 };
 
 }  // namespace cardamom
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,6 +53,11 @@
                 m_fleet,
                 m_homes),
       m_directory(m_context, ports.table, m_relayed.Port(), std::move(ports.decoders), m_fleet),
+      m_member_cleanup(m_context,
+                       ports.table,
+                       m_fleet,
+                       m_homes,
+                       [this] { return !m_directory.StoreUnavailableSince(); }),
       m_runner(m_context),
       m_peers(m_context,
               m_directory,
@@ -70,7 +75,10 @@
           [this](StoreEra era) { return m_directory.EraAge(era); },
           [this] { m_directory.RecordStoreFailure(); },
           m_outage_takeover),
-      m_coordinator(m_context, m_directory, m_takeover, m_outage_takeover) {}
+      m_coordinator(m_context, m_directory, m_takeover, m_outage_takeover) {
+  m_homes.set_on_silence(
+      [this](const std::string& vm, bool silent) { m_fleet.SetSilent(vm, silent); });
+}
 
 std::size_t Gateway::MaxConnections(const GroupId& group) const {
   const auto* settings = m_directory.FindSettings(group);
@@ -96,6 +104,7 @@
   m_events.Emit(EventCode::kProcessStarted, {.detail = "sessions " + m_settings.listen_sessions});
   m_fleet.Start(m_relayed.Port());
   m_directory.Start();
+  m_member_cleanup.Start();
   m_coordinator.Start();
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await AskPeersForConfiguration(); });
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Housekeeping(); });
@@ -156,6 +165,9 @@
 }
 
 asio::awaitable<HttpResponse> Gateway::HandlePeer(HttpRequest request) {
+  if (request.target == kPeerMemberPath) {
+    return m_member_cleanup.Answer(std::move(request.body));
+  }
   return m_peers.Handle(std::move(request));
 }
 
@@ -187,6 +199,7 @@
   const auto latest_answer = started + limit - kFinalReplyReserve;
   const auto exit_at = started + limit - kExitReserve;
   m_stopping = true;
+  m_member_cleanup.Stop();
   m_events.Emit(EventCode::kProcessStopping);
   m_sessions.SetLatestAnswer(latest_answer);
   m_peers.RefuseNewWork();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include "fleet/fleet.h"
 #include "fleet/home_client.h"
+#include "fleet/member_cleanup.h"
 #include "fleet/peer_service.h"
 #include "fleet/relayed_table.h"
 #include "gateway/directory.h"
@@ -83,6 +84,7 @@
   HomeClient m_homes;
   RelayedTable m_relayed;
   Directory m_directory;
+  MemberCleanup m_member_cleanup;
   StatementRunner m_runner;
   PeerService m_peers;
   SessionRegistry m_sessions;
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -321,7 +321,9 @@
     snapshot.position = Position();
     snapshot.now_ms = now_ms;
     for (const auto& [key, row] : m_tables[table]) {
-      snapshot.rows.push_back({key, row.value, StoreVersion(row.version), false});
+      if (!row.gone) {
+        snapshot.rows.push_back({key, row.value, StoreVersion(row.version), false});
+      }
     }
     co_return snapshot;
   };
@@ -337,7 +339,7 @@
       }
       for (const auto& [key, row] : m_tables[table]) {
         if (row.version > after.version.value()) {
-          changes.rows.push_back({key, row.value, StoreVersion(row.version), false});
+          changes.rows.push_back({key, row.value, StoreVersion(row.version), row.gone});
         }
       }
       if (changes.rows.empty()) {
@@ -358,10 +360,11 @@
     }
     TableWriteResult result;
     result.era = era;
-    const auto current = m_tables[write.table][write.key].version;
+    const auto& row = m_tables[write.table][write.key];
+    const auto current = row.gone ? 0 : row.version;
     result.applied = !write.expected || write.expected->value() == current;
     if (result.applied) {
-      Put(write.table, write.key, write.value.value_or(""));
+      m_tables[write.table][write.key] = {write.value.value_or(""), ++m_version, !write.value};
     }
     co_return result;
   };
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -134,6 +134,7 @@
   struct Row {
     std::string value;
     std::uint64_t version = 0;
+    bool gone = false;
   };
   StorePosition Position() const { return {era, StoreVersion(m_version)}; }
 
