Members: VMs without a valid capacity get no role

Cause: a capacity in a row of another writer that is infinite or enormous made its VM the home of every group, and one that is not a number left the order undefined; the setting accepted inf and nan. Changed: RankVms and the member list leave out capacities that are not positive numbers up to 1024; the setting refuses them.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -116,7 +116,7 @@
     } else if (!m_follower.MayBeFromCopy(row)) {
       m_left.erase(key);
     }
-    if (entry && entry->capacity > 0 && !m_left.contains(key)) {
+    if (entry && IsValidCapacity(entry->capacity) && !m_left.contains(key)) {
       vms[key] = *entry;
     }
   }
--- a/src/membership/rendezvous.cc
+++ b/src/membership/rendezvous.cc
@@ -29,7 +29,7 @@
   std::vector<std::pair<double, const VmEntry*>> weighted;
   weighted.reserve(vms.size());
   for (const auto& vm : vms) {
-    if (!vm.leaving) {
+    if (!vm.leaving && IsValidCapacity(vm.capacity)) {
       weighted.emplace_back(RendezvousCost(vm, key), &vm);
     }
   }
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -86,6 +86,9 @@
   }
 }
 
+// As in membership/rendezvous.h: the other VMs leave out a VM with a greater capacity.
+constexpr double kMaxCapacity = 1024;
+
 std::optional<double> ParseNumber(const std::string& text) {
   double value = 0;
   const auto* end = text.data() + text.size();
@@ -120,8 +123,9 @@
   if (settings.log_format != "json" && settings.log_format != "text") {
     problems.push_back(fmt::format("log-format: '{}' is none of text, json", settings.log_format));
   }
-  if (settings.capacity() <= 0) {
-    problems.push_back(fmt::format("capacity: '{}' is no positive number", settings.capacity_text));
+  if (!(settings.capacity() > 0 && settings.capacity() <= kMaxCapacity)) {
+    problems.push_back(fmt::format("capacity: '{}' is no positive number up to {}",
+                                   settings.capacity_text, kMaxCapacity));
   }
   const double overshoot = settings.quota_overshoot();
   if (!(overshoot >= 0 && overshoot <= 1)) {
