HTTP front: malformed records and list entries are left out

Cause: ParseRecord accepted port 0; a record of another group took the place of a group's own; a malformed row could not be replaced by an operator and, being unreadable, skipped the check of voters; one malformed entry refused the whole list of VMs; an age that a peer reports could be negative or overflow. Changed: each of these is refused or left out; the check of voters falls back to the record in force. A list of which nothing is left is an error, so that the last one stays.

--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -14,7 +14,8 @@
   std::map<GroupId, GroupRecord> records;
   for (const auto& stored : snapshot.records) {
     auto parsed = ParseRecord(stored.record);
-    if (parsed.record) {
+    // A record of another group is as malformed as one that cannot be parsed.
+    if (parsed.record && parsed.record->group == stored.group) {
       records[stored.group] = std::move(*parsed.record);
       continue;
     }
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -45,7 +45,8 @@
   };
 
   // Puts `snapshot` in force if none is in force or its revision is greater than the one in force.
-  // If a record cannot be parsed, the group's last parsed record, if any, stays in force.
+  // If a record cannot be parsed or is one of another group, the group's last parsed record, if
+  // any, stays in force.
   AdoptResult Adopt(const ConfigSnapshot& snapshot);
 
   // Records that the platform, or a peer that follows it, reported `revision` as the latest at time
--- a/src/proxy/config_follower.cc
+++ b/src/proxy/config_follower.cc
@@ -15,6 +15,9 @@
 constexpr Millis kVmListInterval{1000};
 // Used once the list contains this VM, since changes are rare from then on.
 constexpr Millis kVmListIntervalWhenListed{5000};
+// A greater age in an answer of a peer counts as this one; it could overflow when subtracted from a
+// time.
+constexpr Millis kMaxConfirmedAge = std::chrono::hours(24);
 constexpr std::size_t kMaxPeersAsked = 3;
 constexpr std::size_t kMaxPeerContacts = 9;
 
@@ -53,6 +56,15 @@
   return snapshot;
 }
 
+std::optional<TimePoint> ConfirmedAt(const RevisionAnswer& answer, TimePoint request_sent_at) {
+  // A negative age would confirm the revision for times to come.
+  if (answer.confirmed_age_ms < 0) {
+    return std::nullopt;
+  }
+  const auto age = std::min<std::int64_t>(answer.confirmed_age_ms, kMaxConfirmedAge.count());
+  return request_sent_at - Millis(age);
+}
+
 ConfigFollower::ConfigFollower(ProxyContext& context,
                                PlatformClient& platform,
                                PeerClient& peers,
@@ -294,7 +306,11 @@
   if (!answer) {
     co_return false;
   }
-  Confirm(answer->revision, request_sent_at - Millis(answer->confirmed_age_ms));
+  const auto confirmed_at = ConfirmedAt(*answer, request_sent_at);
+  if (!confirmed_at) {
+    co_return false;
+  }
+  Confirm(answer->revision, *confirmed_at);
   bool behind = false;
   {
     const std::lock_guard lock(m_mutex);
--- a/src/proxy/config_follower.h
+++ b/src/proxy/config_follower.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <random>
 
 #include "config/config_state.h"
@@ -32,6 +33,9 @@
 // Decodes a snapshot from the answer to MakeSnapshotRequest(). Errors: kBadJson, kBadField. Thread
 // safe.
 Outcome<ConfigSnapshot> DecodeSnapshot(const TableReadAnswer& answer);
+// When the platform confirmed the revision that a peer reports in the answer to a request sent at
+// `request_sent_at`; nothing if the answer's age is negative. Pure and thread safe.
+std::optional<TimePoint> ConfirmedAt(const RevisionAnswer& answer, TimePoint request_sent_at);
 // Returns a read request for the revision and all records. Thread safe.
 TableReadRequest MakeSnapshotRequest();
 
--- a/src/proxy/record_service.cc
+++ b/src/proxy/record_service.cc
@@ -65,10 +65,9 @@
       current.revision_version = row.version;
     } else if (row.key == RecordKey(group)) {
       auto record = DecodeJson<StoredRecord>(row.value);
-      if (!record) {
-        co_return Error{ResultCode::kPlatformUnavailable, record.error().detail};
-      }
-      current.record = std::move(*record);
+      // A malformed row has revision 0, as DecodeSnapshot shows it, so that it can be replaced.
+      current.record =
+          record && record->group == group ? std::move(*record) : StoredRecord{group, {}, {}, {}};
       current.record_version = row.version;
     } else {
       auto terms = DecodeJson<TermRow>(row.value);
@@ -86,7 +85,7 @@
 }
 
 std::optional<Error> RecordService::CheckAgainstCurrent(const RecordChange& change,
-                                                        const CurrentRows& current) {
+                                                        const CurrentRows& current) const {
   if (change.action == RecordAction::kSubmit) {
     if (current.record) {
       return Error{ResultCode::kRecordExists, "the group has a record; use replace"};
@@ -104,11 +103,16 @@
     return std::nullopt;
   }
   const auto new_record = ParseRecord(change.record);
-  const auto current_record = ParseRecord(current.record->record);
-  if (!current_record.record) {
-    return std::nullopt;
+  auto current_record = ParseRecord(current.record->record).record;
+  if (!current_record || current_record->group != change.group) {
+    const auto in_force = m_config.records();
+    const auto it = in_force.find(change.group);
+    if (it == in_force.end()) {
+      return std::nullopt;
+    }
+    current_record = it->second;
   }
-  for (const auto& endpoint : current_record.record->endpoints) {
+  for (const auto& endpoint : current_record->endpoints) {
     const bool is_voter = std::find(current.voters.begin(), current.voters.end(), endpoint.id) !=
                           current.voters.end();
     const auto* new_endpoint = new_record.record->FindEndpoint(endpoint.id);
--- a/src/proxy/record_service.h
+++ b/src/proxy/record_service.h
@@ -47,8 +47,9 @@
   };
 
   asio::awaitable<Outcome<CurrentRows>> LoadCurrentRows(const GroupId& group, TimePoint deadline);
-  static std::optional<Error> CheckAgainstCurrent(const RecordChange& change,
-                                                  const CurrentRows& current);
+  // A stored record that cannot be parsed is replaced by the one in force for the check.
+  std::optional<Error> CheckAgainstCurrent(const RecordChange& change,
+                                           const CurrentRows& current) const;
 
   ProxyContext& m_context;
   PlatformClient& m_platform;
--- a/src/record/group_record.cc
+++ b/src/record/group_record.cc
@@ -113,8 +113,9 @@
 
 void ReadAddress(ObjectReader& reader, EndpointSpec& endpoint) {
   endpoint.address = reader.ReadString("address", true);
-  if (!endpoint.address.empty() && !Address::Parse(endpoint.address)) {
-    reader.AddProblem("address", "must be IP:PORT");
+  const auto address = Address::Parse(endpoint.address);
+  if (!endpoint.address.empty() && (!address || address->port == 0)) {
+    reader.AddProblem("address", "must be IP:PORT with a port from 1 to 65535");
   }
 }
 
--- a/src/table/platform_client.cc
+++ b/src/table/platform_client.cc
@@ -1,5 +1,6 @@
 #include "table/platform_client.h"
 
+#include <set>
 #include <utility>
 
 #include "http/store_era.h"
@@ -8,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMaxConnections = 8;
+// Depth of nesting up to which a list is read, so that an entry with deep nesting hides no other.
+constexpr std::size_t kMaxListDepth = 1000;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotModified = 304;
 constexpr int kStatusConflict = 409;
@@ -47,6 +50,34 @@
   return answer;
 }
 
+Outcome<VmList> DecodeVmList(std::string_view text) {
+  boost::system::error_code ec;
+  boost::json::parse_options options;
+  options.max_depth = kMaxListDepth;
+  const auto json = boost::json::parse(text, ec, {}, options);
+  const auto* object = ec ? nullptr : json.if_object();
+  const auto* entries = object == nullptr ? nullptr : object->if_contains("vms");
+  if (entries == nullptr || !entries->is_array()) {
+    return Error{ResultCode::kBadJson, ec ? ec.message() : "vms: must be an array"};
+  }
+  VmList list;
+  std::set<VmId> ids;
+  for (const auto& entry : entries->get_array()) {
+    try {
+      auto vm = boost::json::value_to<VmEntry>(entry);
+      if (!vm.id.value().empty() && ids.insert(vm.id).second) {
+        list.vms.push_back(std::move(vm));
+      }
+    } catch (const std::exception&) {
+      // Another writer's malformed entry must not hide the other VMs.
+    }
+  }
+  if (list.vms.empty() && !entries->get_array().empty()) {
+    return Error{ResultCode::kBadField, "vms: no entry is a VM"};
+  }
+  return list;
+}
+
 }  // namespace
 
 PlatformClient::PlatformClient(asio::io_context& context,
@@ -99,9 +130,9 @@
     tagged.etag = known_etag;
     co_return tagged;
   }
-  auto list = cardamom::DecodeResponse<VmList>(response);
+  auto list = DecodeVmList(response->body);
   if (!list) {
-    co_return list.error();
+    co_return Error{ResultCode::kPlatformUnavailable, list.error().detail, Ran::kUnknown};
   }
   if (const auto tag = response->Header("ETag")) {
     tagged.etag = *tag;
--- a/src/table/platform_client.h
+++ b/src/table/platform_client.h
@@ -31,7 +31,8 @@
     std::optional<VmList> list;
   };
   // Requests the VM list, unless it still has the ETag `known_etag`; an empty tag always requests
-  // it.
+  // it. Malformed entries, such as one without an id or with the id of an earlier one, are left
+  // out; a list of which nothing is left is an error.
   asio::awaitable<Outcome<TaggedVmList>> ListVms(std::string known_etag, TimePoint deadline);
 
  private:
