Limits: one holder is shed at a time, and input is charged in steps

Cause: all waiting readers shed at once, before the first had given its memory back: 57 of 60 callers with a message of 1 MiB were closed.

--- a/src/http/charged_socket.h
+++ b/src/http/charged_socket.h
@@ -65,6 +65,8 @@
   static constexpr std::size_t kFreeBytes = 16 << 10;
   // Largest input of one read.
   static constexpr std::size_t kReadBytes = 4096;
+  // Input is charged in steps, so that a request that waits for room waits a few times only.
+  static constexpr std::size_t kStepBytes = 64 << 10;
   // The body, its copy for the handler, the decoded message, the statement and the request to a
   // server exist at the same time.
   static constexpr std::size_t kCopies = 5;
@@ -81,7 +83,9 @@
         Base::close(ignored);
       });
     }
-    return m_charge->TryResize((m_input_bytes + kReadBytes) * kCopies);
+    const auto steps = (m_input_bytes + kReadBytes + kStepBytes - 1) / kStepBytes;
+    const auto bytes = steps * kStepBytes * kCopies;
+    return bytes <= m_charge->bytes() || m_charge->TryResize(bytes);
   }
 
   // The handler keeps the connection, and with it this object, alive.
--- a/src/limits/memory_account.cc
+++ b/src/limits/memory_account.cc
@@ -11,6 +11,9 @@
 }
 
 bool MemoryAccount::ShedLargest(TimePoint now) {
+  if (m_shed_at != TimePoint() && now - m_shed_at < kShedInterval) {
+    return false;
+  }
   MemoryCharge* largest = nullptr;
   for (auto* charge : m_charges) {
     const bool is_stalled = now - charge->m_progress_at >= kStallTime;
@@ -22,6 +25,7 @@
   if (largest == nullptr) {
     return false;
   }
+  m_shed_at = now;
   const auto hook = std::exchange(largest->m_on_shed, nullptr);
   hook();
   return true;
--- a/src/limits/memory_account.h
+++ b/src/limits/memory_account.h
@@ -28,8 +28,9 @@
   // for holders that then have at most kSmallBytes, which are ordinary statements and replies.
   bool CanTake(std::size_t held_bytes, std::size_t more_bytes) const;
 
-  // Frees the largest holder that has made no progress for kStallTime, by its hook. Returns whether
-  // there was one. Call it if CanTake refuses.
+  // Frees the largest holder that has made no progress for kStallTime, by its hook, but at most one
+  // in kShedInterval, within which the holder gives its memory back. Returns whether there was one.
+  // Call it if CanTake refuses.
   bool ShedLargest(TimePoint now);
 
   std::size_t used_bytes() const { return m_used; }
@@ -37,12 +38,14 @@
 
   static constexpr std::size_t kSmallBytes = 32 << 10;
   static constexpr Millis kStallTime{1000};
+  static constexpr Millis kShedInterval{50};
 
  private:
   friend class MemoryCharge;
 
   const std::size_t m_capacity;
   std::size_t m_used = 0;
+  TimePoint m_shed_at;
   std::list<MemoryCharge*> m_charges;
 };
 
--- a/tests/unit/memory_account_test.cc
+++ b/tests/unit/memory_account_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <list>
+
 #include "limits/memory_account.h"
 
 namespace cardamom {
@@ -43,13 +45,16 @@
   ASSERT_TRUE(larger.TryResize(kCapacity / 2));
   ASSERT_TRUE(smaller.TryResize(kCapacity / 8));
   EXPECT_FALSE(account.ShedLargest(Clock::now()));
-  const auto later = Clock::now() + MemoryAccount::kStallTime;
+  auto later = Clock::now() + MemoryAccount::kStallTime;
   EXPECT_TRUE(account.ShedLargest(later));
   EXPECT_EQ(larger_shed, 1);
   EXPECT_EQ(smaller_shed, 0);
+  // The memory of the first may not be back yet.
+  EXPECT_FALSE(account.ShedLargest(later));
+  later += MemoryAccount::kShedInterval;
   EXPECT_TRUE(account.ShedLargest(later));
   EXPECT_EQ(smaller_shed, 1);
-  EXPECT_FALSE(account.ShedLargest(later));
+  EXPECT_FALSE(account.ShedLargest(later + MemoryAccount::kShedInterval));
 }
 
 }  // namespace
