Quotas: usage limits of organisations across VMs

Cause: organisations with rate_per_s and burst were not limited.

Change: src/quota holds the decisions (owner's ledger of leases, meter with leases and fixed allowance, owner tenure from the list of members, roles by rendezvous hashing), with the time passed in. fleet/quota_service, quota_client, quota_peers and metered_path wire them: the entry VM asks the meter of its domain before Read, Write and RunFirst, and the meter asks two owners, all by POST /v1/peer/quota. Without a quota in the configuration there is no message, timer or state. Events 520 and 521, metric cardamom_quota_total.

--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -60,6 +60,9 @@
   kEndpointLeaving = 504,
   kPeerUnreachable = 505,
   kPeerReachable = 506,
+  // 52x: usage limits.
+  kQuotaRefused = 520,
+  kQuotaOwned = 521,
 };
 
 struct EventCodeInfo {
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -100,6 +100,10 @@
                   "Another proxy does not answer; its groups are asked elsewhere."},
     EventCodeInfo{EventCode::kPeerReachable, "peer_reachable", "info",
                   "Another proxy answers again."},
+    EventCodeInfo{EventCode::kQuotaRefused, "quota_refused", "info",
+                  "Operations were refused because their organisation's quota is used up."},
+    EventCodeInfo{EventCode::kQuotaOwned, "quota_owned", "info",
+                  "The proxy became an owner of an organisation's quota."},
 };
 
 }  // namespace
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 
 #include "async/spawn.h"
 #include "fleet/local_or_remote_path.h"
+#include "fleet/metered_path.h"
 #include "fleet/store_survey.h"
 #include "gateway/local_path.h"
 
@@ -60,6 +61,9 @@
               {&m_fleet.follower(), &m_directory.configuration_follower(),
                &m_directory.servers_follower()},
               [this](const std::string& table) { return m_relayed.IsFromStore(table); }),
+      m_quota_peers(m_context),
+      m_quota_service(m_context, m_fleet, m_quota_peers, MakeQuotaHooks()),
+      m_quota_client(m_context, m_quota_service, m_quota_peers),
       m_sessions(m_context, m_directory, [this](const Route& route) { return FindPath(route); }),
       m_outage_takeover(m_context, ports.table, ports.order, MakeOutageHooks()),
       m_takeover(
@@ -92,6 +96,20 @@
   return hooks;
 }
 
+QuotaService::Hooks Gateway::MakeQuotaHooks() {
+  QuotaService::Hooks hooks;
+  hooks.configuration = [this] {
+    return m_directory.IsLoaded() ? &m_directory.configuration() : nullptr;
+  };
+  hooks.members_confirmed_at = [this]() -> std::optional<BootTime> {
+    if (!m_fleet.follower().IsLoaded()) {
+      return std::nullopt;
+    }
+    return BootClock::now() - (Clock::now() - m_fleet.follower().last_response_at());
+  };
+  return hooks;
+}
+
 void Gateway::Start() {
   m_events.Emit(EventCode::kProcessStarted, {.detail = "sessions " + m_settings.listen_sessions});
   m_fleet.Start(m_relayed.Port());
@@ -124,6 +142,7 @@
   for (;;) {
     m_sessions.ExpireTransactions();
     m_peers.ExpireTransactions();
+    m_quota_service.Tick();
     if (m_directory.IsLoaded() && m_fleet.IsSettled()) {
       m_directory.CloseUnused();
     }
@@ -137,6 +156,14 @@
 }
 
 std::shared_ptr<StatementPath> Gateway::FindPath(const Route& route) {
+  auto path = FindUnmeteredPath(route);
+  if (path && !route.is_public && m_quota_client.HasQuotas()) {
+    return std::make_shared<MeteredPath>(m_quota_client, std::move(path));
+  }
+  return path;
+}
+
+std::shared_ptr<StatementPath> Gateway::FindUnmeteredPath(const Route& route) {
   const auto* settings = m_directory.FindSettings(route.group);
   if (settings == nullptr) {
     return nullptr;
@@ -156,6 +183,9 @@
 }
 
 asio::awaitable<HttpResponse> Gateway::HandlePeer(HttpRequest request) {
+  if (request.target == kPeerQuotaPath) {
+    return m_quota_service.Handle(std::move(request));
+  }
   return m_peers.Handle(std::move(request));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "fleet/fleet.h"
 #include "fleet/home_client.h"
 #include "fleet/peer_service.h"
+#include "fleet/quota_client.h"
 #include "fleet/relayed_table.h"
 #include "gateway/directory.h"
 #include "gateway/session_registry.h"
@@ -71,6 +72,8 @@
   asio::awaitable<void> AskPeersForConfiguration();
   asio::awaitable<void> Housekeeping();
   std::shared_ptr<StatementPath> FindPath(const Route& route);
+  std::shared_ptr<StatementPath> FindUnmeteredPath(const Route& route);
+  QuotaService::Hooks MakeQuotaHooks();
   OutageHooks MakeOutageHooks();
   std::size_t MaxConnections(const GroupId& group) const;
   asio::awaitable<void> StopGracefully(StopHooks hooks);
@@ -85,6 +88,9 @@
   Directory m_directory;
   StatementRunner m_runner;
   PeerService m_peers;
+  QuotaPeers m_quota_peers;
+  QuotaService m_quota_service;
+  QuotaClient m_quota_client;
   SessionRegistry m_sessions;
   OutageTakeover m_outage_takeover;
   Takeover m_takeover;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -55,7 +55,11 @@
                       .Name("cardamom_store_era")
                       .Help("Era of the store, which rises when it is restored from a copy")
                       .Register(m_registry)
-                      .Add({})) {}
+                      .Add({})),
+      m_quota(prometheus::BuildCounter()
+                  .Name("cardamom_quota_total")
+                  .Help("Operations and leases under usage limits, by what happened")
+                  .Register(m_registry)) {}
 
 void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
   m_statements.Add({{"outcome", outcome}}).Increment();
@@ -95,6 +99,10 @@
   m_store_era.Set(static_cast<double>(era.value()));
 }
 
+void GatewayMetrics::CountQuota(const char* what, std::int64_t count) {
+  m_quota.Add({{"what", what}}).Increment(static_cast<double>(count));
+}
+
 std::string GatewayMetrics::Format() {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -38,6 +38,10 @@
   // Counts a call of a table follower to the store or a relay. `outcome` is answered, history_gone
   // (the whole table has to be read) or failed.
   void CountStoreCall(const char* outcome);
+  // Adds to a count of the usage limits. `what` is admitted or refused (operations at the VM that
+  // their callers use), from_allowance (operations that a meter admitted without a lease) or leases
+  // (granted by an owner).
+  void CountQuota(const char* what, std::int64_t count);
   // Sets the era of the store in its latest answer.
   void SetStoreEra(StoreEra era);
 
@@ -56,6 +60,7 @@
   prometheus::Gauge& m_configuration;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Gauge& m_store_era;
+  prometheus::Family<prometheus::Counter>& m_quota;
 };
 
 }  // namespace cardamom
