--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 
 #include "async/spawn.h"
 #include "fleet/local_or_remote_path.h"
+#include "fleet/metered_path.h"
 #include "fleet/store_survey.h"
 #include "gateway/local_path.h"
 
@@ -65,6 +66,9 @@
               {&m_fleet.follower(), &m_directory.configuration_follower(),
                &m_directory.servers_follower()},
               [this](const std::string& table) { return m_relayed.IsFromStore(table); }),
+      m_quota_peers(m_context),
+      m_quota_service(m_context, m_fleet, m_quota_peers, MakeQuotaHooks()),
+      m_quota_client(m_context, m_quota_service, m_quota_peers),
       m_sessions(m_context, m_directory, [this](const Route& route) { return FindPath(route); }),
       m_outage_takeover(m_context, ports.table, ports.order, MakeOutageHooks()),
       m_takeover(
@@ -100,6 +104,15 @@
   return hooks;
 }
 
+QuotaService::Hooks Gateway::MakeQuotaHooks() {
+  QuotaService::Hooks hooks;
+  hooks.configuration = [this] {
+    return m_directory.IsLoaded() ? &m_directory.configuration() : nullptr;
+  };
+  hooks.members_confirmed_at = [this] { return m_fleet.follower().confirmed_at(); };
+  return hooks;
+}
+
 void Gateway::Start() {
   m_relayed.RequireProof(m_directory.configuration_follower().name(),
                          [this] { return m_directory.HasOrganisations(); });
@@ -133,6 +146,7 @@
   for (;;) {
     m_sessions.ExpireTransactions();
     m_peers.ExpireTransactions();
+    m_quota_service.Tick();
     if (m_directory.IsLoaded() && m_fleet.IsSettled()) {
       m_directory.CloseUnused();
     }
@@ -149,6 +163,14 @@
 }
 
 std::shared_ptr<StatementPath> Gateway::FindPath(const Route& route) {
+  auto path = FindUnmeteredPath(route);
+  if (path && !route.is_public && m_quota_client.HasQuotas()) {
+    return std::make_shared<MeteredPath>(m_quota_client, std::move(path));
+  }
+  return path;
+}
+
+std::shared_ptr<StatementPath> Gateway::FindUnmeteredPath(const Route& route) {
   const auto* settings = m_directory.FindSettings(route.group);
   if (settings == nullptr) {
     return nullptr;
@@ -171,6 +193,9 @@
   if (request.target == kPeerMemberPath) {
     return m_member_cleanup.Answer(std::move(request.body));
   }
+  if (request.target == kPeerQuotaPath) {
+    return m_quota_service.Handle(std::move(request));
+  }
   return m_peers.Handle(std::move(request));
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -96,7 +96,11 @@
                           .Name("cardamom_charged_bytes")
                           .Help("Bytes of input, statements, results and session state")
                           .Register(m_registry)
-                          .Add({})) {}
+                          .Add({})),
+      m_quota(prometheus::BuildCounter()
+                  .Name("cardamom_quota_total")
+                  .Help("Operations and leases under usage limits, by what happened")
+                  .Register(m_registry)) {}
 
 void GatewayMetrics::CountStatement(const char* outcome, Duration duration) {
   m_statements.Add({{"outcome", outcome}}).Increment();
@@ -168,6 +172,10 @@
   m_charged_bytes.Set(static_cast<double>(bytes));
 }
 
+void GatewayMetrics::CountQuota(const char* what, std::int64_t count) {
+  m_quota.Add({{"what", what}}).Increment(static_cast<double>(count));
+}
+
 std::string GatewayMetrics::Format() {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -48,6 +48,10 @@
   void CountConfigurationTooOld();
   // Sets the time since the configuration in force was last known to be current.
   void SetConfigurationAge(std::chrono::nanoseconds age);
+  // Adds to a count of the usage limits. `what` is admitted or refused (operations at the VM that
+  // their callers use), from_allowance (operations that a meter admitted without a lease) or leases
+  // (granted by an owner).
+  void CountQuota(const char* what, std::int64_t count);
   // Sets the era of the store in its latest answer.
   void SetStoreEra(StoreEra era);
   // The counters that all pools share. They are not thread safe: all use, and SetLinks, is on the
@@ -86,6 +90,7 @@
   prometheus::Counter& m_link_wait_seconds;
   prometheus::Family<prometheus::Counter>& m_limits;
   prometheus::Gauge& m_charged_bytes;
+  prometheus::Family<prometheus::Counter>& m_quota;
 };
 
 }  // namespace cardamom
