Events: 540, callers exceeded a limit

Cause: LimitLog reported by event 404 until the enumerator existed. Change: event caller_limited (540), documented.

--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -60,6 +60,7 @@
   kEndpointLeaving = 504,
   kPeerUnreachable = 505,
   kPeerReachable = 506,
+  kCallerLimited = 540,
 };
 
 struct EventCodeInfo {
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -100,6 +100,9 @@
                   "Another proxy does not answer; its groups are asked elsewhere."},
     EventCodeInfo{EventCode::kPeerReachable, "peer_reachable", "info",
                   "Another proxy answers again."},
+    EventCodeInfo{EventCode::kCallerLimited, "caller_limited", "warn",
+                  "Callers exceeded a limit and were refused or closed; at most one event in 10 s "
+                  "for each limit."},
 };
 
 }  // namespace
--- a/src/gateway/limit_log.cc
+++ b/src/gateway/limit_log.cc
@@ -16,7 +16,7 @@
   if (entry.reported_at != TimePoint() && now - entry.reported_at < kEventInterval) {
     return;
   }
-  m_events.Emit(EventCode::kRequestRefused,
+  m_events.Emit(EventCode::kCallerLimited,
                 {.detail = fmt::format("{}: {} times", limit, entry.unreported)});
   entry = {0, now};
 }
