--- a/tools/gateway_daemon.cc
+++ b/tools/gateway_daemon.cc
@@ -100,9 +100,11 @@
     if (!peer_server) {
       return ReportError(peer_server.error());
     }
-    auto metrics_server = Listen(
-        m_settings.listen_metrics, m_settings.operations_connections, kMaxOperationsBody,
-        [this](HttpRequest request) { return m_gateway.HandleOperations(std::move(request)); });
+    auto metrics_server = Listen(m_settings.listen_metrics, m_settings.operations_connections,
+                                 kMaxOperationsBody, [this](HttpRequest request) {
+                                   m_gateway.metrics().SetChargedBytes(m_account.used_bytes());
+                                   return m_gateway.HandleOperations(std::move(request));
+                                 });
     if (!metrics_server) {
       return ReportError(metrics_server.error());
     }
