--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -65,6 +65,7 @@
   // 52x: usage limits.
   kQuotaRefused = 520,
   kQuotaOwned = 521,
+  kCallerLimited = 540,
   kMemberRemoved = 560,
 };
 
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -108,6 +108,9 @@
                   "Operations were refused because their organisation's quota is used up."},
     EventCodeInfo{EventCode::kQuotaOwned, "quota_owned", "info",
                   "The proxy became an owner of an organisation's quota."},
+    EventCodeInfo{EventCode::kCallerLimited, "caller_limited", "warn",
+                  "Callers exceeded a limit and were refused or closed; at most one event in 10 s "
+                  "for each limit."},
     EventCodeInfo{EventCode::kMemberRemoved, "member_removed", "info",
                   "The row of a VM that is gone was removed from the members."},
 };
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -57,7 +57,7 @@
                          "Session values and prepared statements of one session, together."},
     GatewayNumberSetting{"session-names", &S::session_names, 4096, 1, 10'000'000, "names",
                          "Session values and prepared statements of one session, by number."},
-    GatewayNumberSetting{"peer-connections", &S::peer_connections, 256, 1, 1'000'000, "connections",
+    GatewayNumberSetting{"peer-connections", &S::peer_connections, 1024, 1, 1'000'000, "connections",
                          "Connections accepted at the same time on the address for proxies."},
     GatewayNumberSetting{"operations-connections", &S::operations_connections, 48, 1, 1'000'000,
                          "connections",
--- a/tools/gateway_daemon.cc
+++ b/tools/gateway_daemon.cc
@@ -23,8 +23,10 @@
 
 constexpr int kExitSettings = 2;
 constexpr int kExitListen = 3;
-// File descriptors reserved for files, links to servers, and connections to peers and the store.
+// File descriptors that are never left to callers: at least this many, and those for files, links
+// to servers and connections to peers and the store beside the connections of peers and operations.
 constexpr std::int64_t kReservedDescriptors = 500;
+constexpr std::int64_t kOwnDescriptors = 300;
 constexpr std::size_t kBytesPerKb = 1024;
 // Requests for readiness and metrics have no body.
 constexpr std::size_t kMaxOperationsBody = 4 << 10;
@@ -95,14 +97,16 @@
       return ReportError(readiness_server.error());
     }
     auto peer_server =
-        Listen(m_settings.listen_peers, m_settings.peer_connections, kMaxPeerBody,
+        Listen(m_settings.listen_peers, MaxPeerConnections(), kMaxPeerBody,
                [this](HttpRequest request) { return m_gateway.HandlePeer(std::move(request)); });
     if (!peer_server) {
       return ReportError(peer_server.error());
     }
-    auto metrics_server = Listen(
-        m_settings.listen_metrics, m_settings.operations_connections, kMaxOperationsBody,
-        [this](HttpRequest request) { return m_gateway.HandleOperations(std::move(request)); });
+    auto metrics_server = Listen(m_settings.listen_metrics, m_settings.operations_connections,
+                                 kMaxOperationsBody, [this](HttpRequest request) {
+                                   m_gateway.metrics().SetChargedBytes(m_account.used_bytes());
+                                   return m_gateway.HandleOperations(std::move(request));
+                                 });
     if (!metrics_server) {
       return ReportError(metrics_server.error());
     }
@@ -115,9 +119,16 @@
   }
 
  private:
+  // Connections of peers; a quarter of the descriptors at most, so that peers, whose number grows
+  // with the fleet, and callers do not keep each other out.
+  std::int64_t MaxPeerConnections() const {
+    return std::min(m_settings.peer_connections, m_settings.max_files / 4);
+  }
+
   std::size_t MaxConnections() const {
-    return static_cast<std::size_t>(
-        std::max<std::int64_t>(16, m_settings.max_files - kReservedDescriptors));
+    const auto reserved = std::max(kReservedDescriptors, kOwnDescriptors + MaxPeerConnections() +
+                                                             2 * m_settings.operations_connections);
+    return static_cast<std::size_t>(std::max<std::int64_t>(16, m_settings.max_files - reserved));
   }
 
   platform::CallerLimits MakeCallerLimits() {
