Homes: failures at the same moment count once

Cause: many requests to a peer may fail together, for example after a suspension of this process; three of them made the peer count as silent at once. Changed: a failure in the back-off after another one does not count.

--- a/src/fleet/home_client.cc
+++ b/src/fleet/home_client.cc
@@ -1,6 +1,7 @@
 #include "fleet/home_client.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -29,7 +30,7 @@
 // time, which is about as long as a probe of the primary takes.
 constexpr Millis kCannotServeRetryDelay{300};
 // Consecutive failures after which a peer counts as silent: with the pings that follow the first
-// failure, about 1 s.
+// failure, 0.75 s to 1.5 s.
 constexpr int kSilentAfterFailures = 3;
 // VMs pinged at the same time in the search for replacements of silent homes, and the time that one
 // search may take. With ten rows of VMs that are gone for each that answers, the search takes some
@@ -77,6 +78,11 @@
 }
 
 void HomeClient::OnFailure(const PeerPtr& peer, const std::string& reason) {
+  if (!peer->alive && Clock::now() < peer->backoff_until) {
+    // Many requests may fail at the same moment, for example after a suspension of this process.
+    // They count once.
+    return;
+  }
   const auto pause = kBackoffBase * (1 << std::min(peer->failures, kMaxBackoffDoublings));
   ++peer->failures;
   peer->backoff_until = Clock::now() + pause;
