--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -62,10 +62,12 @@
   kEndpointLeaving = 504,
   kPeerUnreachable = 505,
   kPeerReachable = 506,
-  // 52x: usage limits.
+  // 52x: quotas.
   kQuotaRefused = 520,
   kQuotaOwned = 521,
+  // 54x: limits on callers that are not trusted.
   kCallerLimited = 540,
+  // 56x: members.
   kMemberRemoved = 560,
 };
 
