Settings: an empty value in the settings file means the default

Change: an empty value counts as none; the window of quotas is given in seconds, as deployments tell it. A route that is not public needs a key also if the last organisation was removed from the configuration.

--- a/src/fleet/quota_service.cc
+++ b/src/fleet/quota_service.cc
@@ -83,7 +83,7 @@
     state->roles_list = m_list;
     state->roles = AssignQuotaRoles(m_vms, m_fleet.self(), organisation);
   }
-  const QuotaBound bound{Millis(m_context.settings.quota_window_ms),
+  const QuotaBound bound{std::chrono::seconds(m_context.settings.quota_window_s),
                          m_context.settings.quota_overshoot(),
                          static_cast<double>(m_context.settings.quota_slack)};
   const auto& roles = state->roles;
--- a/src/gateway/session_registry.cc
+++ b/src/gateway/session_registry.cc
@@ -27,8 +27,8 @@
     co_return ReplyError{StatementError::kBusy, "the configuration is not known yet"};
   }
   const auto* route = m_directory.FindRoute(database);
-  if (route != nullptr && NeedsKey(m_directory.configuration(), *route) &&
-      m_context.settings.revoke_ms > 0 && !m_directory.confirmed_at()) {
+  if (route != nullptr && !route->is_public && m_context.settings.revoke_ms > 0 &&
+      !m_directory.confirmed_at()) {
     // A process that has just started has no proof yet that its configuration is current.
     co_await m_directory.WaitUntilConfirmed(deadline);
     route = m_directory.FindRoute(database);
--- a/src/organisation/key_check.cc
+++ b/src/organisation/key_check.cc
@@ -20,15 +20,11 @@
   return confirmed_at && received_at - *confirmed_at < revoke - margin;
 }
 
-bool NeedsKey(const Configuration& configuration, const Route& route) {
-  return !route.is_public && !configuration.organisations.empty();
-}
-
 KeyVerdict CheckKey(const Configuration& configuration,
                     const Route& route,
                     const ApiKey& key,
                     bool is_recent) {
-  if (!NeedsKey(configuration, route)) {
+  if (route.is_public) {
     return {};
   }
   if (!is_recent) {
--- a/src/organisation/key_check.h
+++ b/src/organisation/key_check.h
@@ -18,9 +18,6 @@
 // sent the statement before `received_at`, so less than `revoke` after the withdrawal.
 bool IsRecentEnough(Millis revoke, std::optional<BootTime> confirmed_at, BootTime received_at);
 
-// Whether callers of `route` need a key. Pure and thread safe.
-bool NeedsKey(const Configuration& configuration, const Route& route);
-
 enum class KeyResult {
   kAdmitted,
   // The key belongs to no organisation.
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -38,7 +38,7 @@
   std::int64_t direct_vms = 32;
   std::int64_t config_apply_ms = 3000;
   std::int64_t revoke_ms = 0;
-  std::int64_t quota_window_ms = 5000;
+  std::int64_t quota_window_s = 5;
   std::int64_t quota_slack = 0;
   std::int64_t memory_mb = 512;
   std::int64_t greeting_kb = 16;
--- a/src/settings/settings_table.h
+++ b/src/settings/settings_table.h
@@ -75,8 +75,9 @@
 }  // namespace detail
 
 // Takes each setting from its flag, else from its environment variable, else from the file given by
-// the flag --settings-file (lines of the form name = value), else from its default. Adds a message
-// to `problems` for each error found. Thread safe if `environment` is.
+// the flag --settings-file (lines of the form name = value; an empty value counts as none), else
+// from its default. Adds a message to `problems` for each error found. Thread safe if `environment`
+// is.
 template <typename Owner>
 Owner ReadSettings(std::span<const NumberSettingOf<Owner>> numbers,
                    std::span<const TextSettingOf<Owner>> texts,
@@ -116,10 +117,12 @@
     if (auto value = environment(EnvironmentVariableName(name))) {
       return value;
     }
-    if (from_file.contains(key)) {
-      return from_file[key].template as<std::string>();
+    if (!from_file.contains(key)) {
+      return std::nullopt;
     }
-    return std::nullopt;
+    // A template leaves the value empty if a deployment does not tell it.
+    auto value = from_file[key].template as<std::string>();
+    return value.empty() ? std::nullopt : std::optional(std::move(value));
   };
   Owner settings;
   for (const auto& setting : numbers) {
