--- a/src/fleet/quota_peers.cc
+++ b/src/fleet/quota_peers.cc
@@ -50,7 +50,7 @@
     auto reply = DecodeJson<PeerQuotaReply>(answer->body);
     if (reply) {
       peer->failures = 0;
-      co_return std::move(*reply);
+      co_return *reply;
     }
   }
   peer->backoff_until =
--- a/src/fleet/quota_service.cc
+++ b/src/fleet/quota_service.cc
@@ -212,7 +212,7 @@
     message.lease = std::move(request);
     auto reply = co_await m_peers.Send(owner, std::move(message), Clock::now() + kOwnerTimeout);
     if (reply) {
-      grant = std::move(reply->lease);
+      grant = reply->lease;
     }
   }
   if (grant) {
