Tests: a route that is not public stays closed without organisations

The test expected such a route to be open once the configuration holds no organisation. That would admit everybody after the last one was removed; the route now asks for a key in any case, and the test checks both refusals.

--- a/tests/unit/key_check_test.cc
+++ b/tests/unit/key_check_test.cc
@@ -85,7 +85,10 @@
   Configuration configuration;
   Route route;
   route.is_public = false;
-  EXPECT_EQ(CheckKey(configuration, route, ApiKey(""), false).result, KeyResult::kAdmitted);
+  // Guards against a route that opens to everybody when the last organisation is removed.
+  EXPECT_EQ(CheckKey(configuration, route, ApiKey(""), false).result,
+            KeyResult::kConfigurationTooOld);
+  EXPECT_EQ(CheckKey(configuration, route, ApiKey("k1"), true).result, KeyResult::kUnknownKey);
   const OrganisationName mint("mint");
   configuration.organisations[mint] = {mint, {}};
   configuration.organisation_of_key[ApiKey("k1")] = mint;
