--- a/src/pool/link_choice.cc
+++ b/src/pool/link_choice.cc
@@ -33,9 +33,9 @@
 }  // namespace
 
 const LinkChoice::Links& LinkChoice::Find(const OrganisationName& organisation) const {
-  static const Links kNone;
+  static const Links none;
   const auto it = m_links.find(organisation);
-  return it == m_links.end() ? kNone : it->second;
+  return it == m_links.end() ? none : it->second;
 }
 
 LinkChoice::Links& LinkChoice::Get(const OrganisationName& organisation) {
