Peers: a statement of no organisation carries no organisation

Cause: each statement that is forwarded to a home carried an empty member "organisation", 18 bytes more on deployments without organisations, where nothing was to be added.

--- a/src/fleet/peer_codec.cc
+++ b/src/fleet/peer_codec.cc
@@ -45,7 +45,9 @@
   message.consistency = static_cast<int>(task.route.consistency);
   message.max_staleness_ms = task.route.max_staleness.count();
   message.priority = task.route.priority;
-  message.organisation = task.organisation.value();
+  if (!task.organisation.value().empty()) {
+    message.organisation = task.organisation.value();
+  }
   return message;
 }
 
@@ -87,7 +89,7 @@
   in.received = now - Millis(message.spent_ms);
   in.first_byte_at = boot_now - std::chrono::microseconds(message.age_us);
   in.deadline = now + Millis(message.left_ms);
-  in.organisation = OrganisationName(message.organisation);
+  in.organisation = OrganisationName(message.organisation.value_or(""));
   return in;
 }
 
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -61,8 +61,8 @@
   bool may_wait = true;
   // Id of an open transaction at this home.
   std::string transaction;
-  // The organisation on whose behalf the statement runs; empty if none.
-  std::string organisation;
+  // The organisation on whose behalf the statement runs; not set if there is none.
+  std::optional<std::string> organisation;
 };
 BOOST_DESCRIBE_STRUCT(PeerStatement,
                       (),
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -409,6 +409,19 @@
   RC_ASSERT(boot - in->first_byte_at == std::chrono::microseconds(3000));
 }
 
+// Guards against messages that grow on deployments without organisations.
+TEST(PeerCodecTest, AStatementOfNoOrganisationNamesNone) {
+  const Statement statement;
+  const CallerState caller;
+  StatementTask task{statement, caller, {}, {}, {}, {}};
+  const auto group = GroupId("g");
+  EXPECT_EQ(EncodeJson(ToMessage(PeerOperation::kRead, group, task)).find("organisation"),
+            std::string::npos);
+  task.organisation = OrganisationName("mint");
+  const auto message = ToMessage(PeerOperation::kRead, group, task);
+  EXPECT_EQ(message.organisation, "mint");
+}
+
 // A malformed message must not crash the process: without the check, sums of its durations would
 // overflow.
 TEST(PeerCodecTest, DurationsOutOfRangeAreRefused) {
