--- a/review/second/case.cc
+++ b/review/second/case.cc
@@ -151,7 +151,6 @@
 // Fault: processes exceed their memory three times a day on two machines.
 int PlayMemory(Record& record,
                const std::string& directory,
-               int callers,
                std::chrono::seconds length,
                const std::function<bool(Caller& caller)>& statement) {
   constexpr std::size_t kGateways = 2;
@@ -164,11 +163,9 @@
   std::atomic<int> succeeded = 0;
   std::vector<std::thread> threads;
   for (std::size_t i = 0; i < kGateways; ++i) {
-    for (int k = 0; k < callers; ++k) {
-      threads.emplace_back([&, port = deployment.gateway(i).session_port()] {
-        succeeded += SendUntil(record, stop, port, statement);
-      });
-    }
+    threads.emplace_back([&, port = deployment.gateway(i).session_port()] {
+      succeeded += SendUntil(record, stop, port, statement);
+    });
   }
   const auto end = Clock::now() + length;
   const auto machines_ended = [&] {
@@ -208,22 +205,12 @@
   }
   if (name == "ids") {
     // The same bytes, in the id or in the data.
-    return PlayMemory(record, directory, 1, std::chrono::seconds(80), [&](Caller& caller) {
+    return PlayMemory(record, directory, std::chrono::seconds(80), [&](Caller& caller) {
       const auto id = NewId();
       return trouble ? caller.Ask(id + filler, "PUT item data").ok()
                      : caller.Ask(id, "PUT item " + filler).ok();
     });
   }
-  if (name == "shapes") {
-    constexpr std::size_t kShapeBytes = 250'000;
-    // The same bytes, in a shape for each statement or in one for all.
-    return PlayMemory(record, directory, 20, std::chrono::seconds(80), [&](Caller& caller) {
-      const auto shape = std::string(kShapeBytes, 'x') + (trouble ? NewId() : "");
-      return caller.Ask(NewId(), "PARSE s1 PUT " + shape).ok() &&
-             caller.Ask(NewId(), "EXECUTE s1 item data").ok() &&
-             caller.Ask(NewId(), "CLOSE s1").ok();
-    });
-  }
   return kCannotRun;
 }
 
