Transactions: COMMIT runs with the session's values

What callers saw: a value that was set and acknowledged within a transaction, after its last statement, did not apply to the COMMIT.

Cause: StatementRunner::Commit sent the caller's COMMIT alone. First and later statements compare the values of the link with those of the session; the commit took the link's values for the session's. SET is answered by the proxy, so until the next statement the link does not have the value. At a home that commits for another proxy it is the same function.

ACommitRunsWithAValueSetWithinItsTransaction failed before, at a home and forwarded: "c-vm-0 COMMIT" in place of "author=vm-0 c-vm-0 COMMIT".

Change: Commit sends what the link lacks and waits for the replies before it sends the COMMIT (SetUpLink, which Write used already in its own words). The link is closed instead, which rolls back, and the caller gets ABORTED. A commit counts as overdue only from its own sending.

The extra round trip is paid only by a COMMIT behind a new value.

--- a/src/gateway/statement_attempt.h
+++ b/src/gateway/statement_attempt.h
@@ -1,8 +1,10 @@
 // The result of one attempt to run a statement at one server.
 #pragma once
 
+#include <optional>
 #include <string>
 
+#include "core/clock.h"
 #include "statement/statement.h"
 
 namespace cardamom {
@@ -20,6 +22,8 @@
   Status status = Status::kNotRun;
   Reply reply;
   std::string reason;
+  // When the statement was sent; not set if only requests before it were sent.
+  std::optional<TimePoint> sent_at;
   // The server refused the statement because its queue was full.
   bool busy = false;
 };
--- a/src/gateway/statement_batch.cc
+++ b/src/gateway/statement_batch.cc
@@ -74,6 +74,7 @@
     EndpointRequest discard;
     discard.operation = EndpointOperation::kDiscard;
     batch.requests.push_back(discard);
+    batch.changes_values = true;
     batch.clears_prepared = true;
     name = nullptr;
     held.clear();
@@ -83,6 +84,7 @@
     const auto it = held.find(key);
     if (it == held.end() || it->second != value) {
       batch.requests.push_back(SetValueRequest(key, value));
+      batch.changes_values = true;
     }
   }
   if (name != nullptr) {
--- a/src/gateway/statement_batch.h
+++ b/src/gateway/statement_batch.h
@@ -30,6 +30,8 @@
   std::optional<std::size_t> statement_index;
   // Session values of the link after all setup requests have succeeded.
   SessionValues values_after;
+  // The setup requests set or clear session values.
+  bool changes_values = false;
   // The setup requests clear the link's prepared statements, and prepare this one.
   bool clears_prepared = false;
   std::optional<PreparedStatement> prepares;
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -25,6 +25,32 @@
   co_return needed;
 }
 
+asio::awaitable<std::optional<std::string>> StatementRunner::SetUpLink(
+    GroupClient& group,
+    GroupClient::EndpointPtr endpoint,
+    StatementBatch& batch,
+    LinkPool::Lease& lease,
+    TimePoint deadline) {
+  const auto sent_at = Clock::now();
+  const auto answer = co_await lease->link->Run(batch.requests, deadline);
+  if (answer.failure) {
+    lease.Discard();
+    const auto now = Clock::now();
+    endpoint->latency.OnFailure(now - sent_at, now);
+    group.OnStatementFailure(endpoint, *answer.failure);
+    co_return fmt::format("setting the session's values: {}", answer.failure->detail);
+  }
+  if (!UpdateLinkState(batch, answer, *lease)) {
+    lease.Discard();
+    co_return "the session's values were refused";
+  }
+  batch.requests.clear();
+  batch.changes_values = false;
+  batch.clears_prepared = false;
+  batch.prepares.reset();
+  co_return std::nullopt;
+}
+
 asio::awaitable<StatementAttempt> StatementRunner::ReadAt(GroupClient& group,
                                                           GroupClient::EndpointPtr endpoint,
                                                           std::optional<Position> after,
@@ -198,15 +224,11 @@
   }
   auto batch = BuildSetupBatch(**lease, task.caller, &task.statement, false);
   if (!batch.requests.empty()) {
-    // The setup requests are sent on their own: a write in the same batch would run with wrong
-    // session values if one of them were refused.
-    const auto prepared = co_await (*lease)->link->Run(batch.requests, task.deadline);
-    if (prepared.failure || !UpdateLinkState(batch, prepared, **lease)) {
-      lease->Discard();
-      if (prepared.failure) {
-        group.OnLinkFailure(endpoint, *prepared.failure);
-      }
-      attempt.reason = "the session's values were not taken";
+    // A write is not sent together with the preparation of its statement either: it might take
+    // effect although the preparation was answered with an error.
+    auto refusal = co_await SetUpLink(group, endpoint, batch, *lease, task.deadline);
+    if (refusal) {
+      attempt.reason = std::move(*refusal);
       co_return attempt;
     }
   }
--- a/src/gateway/statement_runner.h
+++ b/src/gateway/statement_runner.h
@@ -82,6 +82,15 @@
                                            bool read_only,
                                            TimePoint deadline,
                                            TransactionPin& pin);
+  // Sends the setup requests of `batch` alone and removes them from it. Returns nullopt once the
+  // link holds the session values and prepared statement of the caller's statement. Otherwise
+  // returns the reason why not, and the link is closed: a statement behind a refused value would
+  // run with the value of before.
+  asio::awaitable<std::optional<std::string>> SetUpLink(GroupClient& group,
+                                                        GroupClient::EndpointPtr endpoint,
+                                                        StatementBatch& batch,
+                                                        LinkPool::Lease& lease,
+                                                        TimePoint deadline);
   // Runs `batch` on the pin's link. The result holds the reply to the caller's statement, if the
   // batch has one.
   asio::awaitable<StatementAttempt> RunBatch(const StatementTask& task,
--- a/src/gateway/transaction_statements.cc
+++ b/src/gateway/transaction_statements.cc
@@ -28,6 +28,9 @@
   }
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
+  if (batch.statement_index) {
+    attempt.sent_at = sent_at;
+  }
   const auto answer = co_await pin.lease->link->Run(batch.requests, task.deadline);
   const auto now = Clock::now();
   if (answer.failure) {
@@ -219,12 +222,20 @@
 asio::awaitable<Reply> StatementRunner::Commit(StatementTask task, TransactionPin& pin) {
   const auto endpoint = pin.endpoint;
   const OutstandingCount counted(endpoint);
-  StatementBatch batch;
-  batch.values_after = pin.lease->values;
-  batch.statement_index = 0;
+  auto batch = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
+  if (batch.changes_values) {
+    // Closing the link rolls back: the commit has not been sent.
+    auto refusal = co_await SetUpLink(*pin.group, endpoint, batch, pin.lease, task.deadline);
+    if (refusal) {
+      auto reply =
+          m_outcome.MakeRefusal(*pin.group, task, *refusal + " at " + endpoint->entry.id.value());
+      reply.error->code = StatementError::kAborted;
+      co_return reply;
+    }
+  }
+  batch.statement_index = batch.requests.size();
   batch.requests.push_back(ToRequest(task.statement, task.caller, batch));
   const auto asked_at = BootClock::now();
-  const auto sent_at = Clock::now();
   auto attempt = co_await RunBatch(task, std::move(batch), pin);
   if (attempt.status == StatementAttempt::Status::kAnswered && attempt.reply.ok()) {
     if (pin.may_have_written && attempt.reply.position) {
@@ -245,8 +256,8 @@
   if (attempt.status == StatementAttempt::Status::kAnswered) {
     attempt.reason = std::string(ToString(attempt.reply.error->code));
   }
-  if (Clock::now() - sent_at > kCommitOverdue) {
-    pin.group->OnCommitOverdue(sent_at);
+  if (attempt.sent_at && Clock::now() - *attempt.sent_at > kCommitOverdue) {
+    pin.group->OnCommitOverdue(*attempt.sent_at);
   }
   if (pin.IsOpen()) {
     co_await Rollback(pin);
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -61,6 +61,12 @@
     return {ErrorReply(code, m_server.entry.id.value(), state), std::nullopt};
   }
 
+  // Unlike a statement's failure, leaves an open transaction as it is.
+  EndpointReply RefuseValues() {
+    const auto state = m_in_transaction ? SessionState::kInTransaction : SessionState::kIdle;
+    return {ErrorReply(StatementError::kBusy, m_server.entry.id.value(), state), std::nullopt};
+  }
+
   EndpointReply Succeed(std::string signature = "-") {
     Reply reply;
     reply.signature = std::move(signature);
@@ -98,9 +104,15 @@
         m_in_transaction = false;
         return Succeed();
       case EndpointOperation::kSetValue:
+        if (m_server.refuses_values()) {
+          return RefuseValues();
+        }
         m_values[request.name] = request.value;
         return Succeed();
       case EndpointOperation::kDiscard:
+        if (m_server.refuses_values()) {
+          return RefuseValues();
+        }
         m_values.clear();
         m_prepared.clear();
         return Succeed();
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -48,6 +48,9 @@
   bool restarts_after_pause = false;
   // Refuses statements with kBusy.
   bool busy = false;
+  // Whether it refuses the next request that sets or clears session values; the values stay then,
+  // and requests after it run.
+  std::function<bool()> refuses_values = [] { return false; };
   // Time that a statement takes.
   Millis statement_duration{0};
   // Rows that a read returns.
