Transactions: no statement is sent behind a value that may be refused

What callers saw: nothing wrong in the reply; the statement was answered with ABORTED. But the server had run it with the session value of before (PINNED).

Cause, the same as of the COMMIT without values: each way to a server made its own choice of what goes ahead of the statement. A later statement of a transaction was sent in one write with the values that it needs. A server that refuses a value still runs what follows it; the link was closed only once the replies were read.

Evidence: ALaterStatementIsNotSentAndTheTransactionIsRolledBack failed before: "w2 PUT a data" ran without "author=clerk".

Change: RunInTransaction is the one way of a transaction's statements to its link. It checks the organisation and the number of prepared statements, confirms changed values by SetUpLink, and then sends the statement: the first one, a later one and the commit, at home and for another proxy. A preparation may still share the write with its execution, since its name is new on the link: without it the statement is unknown and does not run.

Measured: the test is green, as are StatementRunnerTest and FleetTest. A later statement pays one round trip more if a value was set since the statement before it.

--- a/src/gateway/statement_runner.h
+++ b/src/gateway/statement_runner.h
@@ -91,6 +91,9 @@
                                                         StatementBatch& batch,
                                                         LinkPool::Lease& lease,
                                                         TimePoint deadline);
+  // Runs a statement of the open transaction: the first one, a later one or the commit.
+  asio::awaitable<StatementAttempt> RunInTransaction(const StatementTask& task,
+                                                     TransactionPin& pin);
   // Runs `batch` on the pin's link. The result holds the reply to the caller's statement, if the
   // batch has one.
   asio::awaitable<StatementAttempt> RunBatch(const StatementTask& task,
--- a/src/gateway/transaction_statements.cc
+++ b/src/gateway/transaction_statements.cc
@@ -14,10 +14,10 @@
 
 }  // namespace
 
-asio::awaitable<StatementAttempt> StatementRunner::RunBatch(const StatementTask& task,
-                                                            StatementBatch batch,
-                                                            TransactionPin& pin) {
+asio::awaitable<StatementAttempt> StatementRunner::RunInTransaction(const StatementTask& task,
+                                                                    TransactionPin& pin) {
   StatementAttempt attempt;
+  auto batch = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
   if (batch.exceeds_names) {
     attempt.reason = "too many prepared statements in the transaction";
     co_return attempt;
@@ -26,6 +26,22 @@
     attempt.reason = "the transaction belongs to another organisation";
     co_return attempt;
   }
+  if (batch.changes_values) {
+    auto refusal = co_await SetUpLink(*pin.group, pin.endpoint, batch, pin.lease, task.deadline);
+    if (refusal) {
+      attempt.reason = std::move(*refusal);
+      co_return attempt;
+    }
+  }
+  batch.statement_index = batch.requests.size();
+  batch.requests.push_back(ToRequest(task.statement, task.caller, batch));
+  co_return co_await RunBatch(task, std::move(batch), pin);
+}
+
+asio::awaitable<StatementAttempt> StatementRunner::RunBatch(const StatementTask& task,
+                                                            StatementBatch batch,
+                                                            TransactionPin& pin) {
+  StatementAttempt attempt;
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
   if (batch.statement_index) {
@@ -116,11 +132,8 @@
   }
   // The statement is sent only after the begin has succeeded. In the same batch as a refused begin
   // it would run outside any transaction.
-  auto first = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
-  first.statement_index = first.requests.size();
-  first.requests.push_back(ToRequest(task.statement, task.caller, first));
   pin.may_have_written = AccessOf(task.statement, task.caller) == Access::kWrite;
-  attempt = co_await RunBatch(task, std::move(first), pin);
+  attempt = co_await RunInTransaction(task, pin);
   if (attempt.status == StatementAttempt::Status::kAnswered && !attempt.reply.ok() &&
       attempt.reply.error->code == StatementError::kBusy) {
     permit->OnOverload();
@@ -193,14 +206,11 @@
 
 asio::awaitable<Reply> StatementRunner::RunNext(StatementTask task, TransactionPin& pin) {
   const OutstandingCount counted(pin.endpoint);
-  auto batch = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
-  batch.statement_index = batch.requests.size();
-  batch.requests.push_back(ToRequest(task.statement, task.caller, batch));
   if (AccessOf(task.statement, task.caller) == Access::kWrite) {
     pin.may_have_written = true;
   }
   const auto endpoint = pin.endpoint;
-  auto attempt = co_await RunBatch(task, std::move(batch), pin);
+  auto attempt = co_await RunInTransaction(task, pin);
   if (attempt.status == StatementAttempt::Status::kAnswered && attempt.reply.ok()) {
     m_outcome.LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
     co_return attempt.reply;
@@ -222,21 +232,8 @@
 asio::awaitable<Reply> StatementRunner::Commit(StatementTask task, TransactionPin& pin) {
   const auto endpoint = pin.endpoint;
   const OutstandingCount counted(endpoint);
-  auto batch = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
-  if (batch.changes_values) {
-    // Closing the link rolls back: the commit has not been sent.
-    auto refusal = co_await SetUpLink(*pin.group, endpoint, batch, pin.lease, task.deadline);
-    if (refusal) {
-      auto reply =
-          m_outcome.MakeRefusal(*pin.group, task, *refusal + " at " + endpoint->entry.id.value());
-      reply.error->code = StatementError::kAborted;
-      co_return reply;
-    }
-  }
-  batch.statement_index = batch.requests.size();
-  batch.requests.push_back(ToRequest(task.statement, task.caller, batch));
   const auto asked_at = BootClock::now();
-  auto attempt = co_await RunBatch(task, std::move(batch), pin);
+  auto attempt = co_await RunInTransaction(task, pin);
   if (attempt.status == StatementAttempt::Status::kAnswered && attempt.reply.ok()) {
     if (pin.may_have_written && attempt.reply.position) {
       pin.group->OnPrimaryAnswer(endpoint, asked_at, *attempt.reply.position);
--- a/tests/unit/session_values_test.cc
+++ b/tests/unit/session_values_test.cc
@@ -104,5 +104,19 @@
   EXPECT_TRUE(m_fake_group.acknowledged.empty());
 }
 
+// Guards against a later statement that is sent together with a value that the server refuses.
+TEST_F(RefusedValuesTest, ALaterStatementIsNotSentAndTheTransactionIsRolledBack) {
+  m_gateway.Run([&]() -> asio::awaitable<void> {
+    co_await OpenAndSet();
+    const auto write = MakeWrite("w2", "a");
+    m_reply = co_await m_gateway.runner.RunNext(m_gateway.Task(write, m_caller), m_pin);
+  });
+  ASSERT_FALSE(m_reply.ok());
+  EXPECT_EQ(m_reply.error->code, StatementError::kAborted);
+  EXPECT_EQ(RunsOf(m_fake_group, "w2"), std::vector<std::string>{});
+  EXPECT_TRUE(m_fake_group.acknowledged.empty());
+  EXPECT_FALSE(m_pin.IsOpen());
+}
+
 }  // namespace
 }  // namespace cardamom::testing
