Reads: no read is sent behind a session value that may be refused

What callers saw: nothing wrong in the reply, which was thrown away; the read was repeated. But each attempt had run with the session values of the link's last session, or of before the SET (PINNED).

DISCARD and SET shared one write with the read, with the BEGIN and ROLLBACK around it at the primary. The values were known to be refused only after the read had run.

Evidence: RefusedValuesTest.AReadIsNotSent failed before, with "r1 FETCH a" four times at the primary and three times more at replicas, without "author=clerk".

Change: a read confirms changed values by SetUpLink, as writes and the statements of transactions do. It is one round trip more where the link's values are not the session's; links with the session's values are preferred, and values take no slot at the server.

--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -76,6 +76,13 @@
   }
   const bool at_primary = !after.has_value();
   auto batch = BuildSetupBatch(**lease, task.caller, &task.statement, false);
+  if (batch.changes_values) {
+    auto refusal = co_await SetUpLink(group, endpoint, batch, *lease, deadline);
+    if (refusal) {
+      attempt.reason = std::move(*refusal);
+      co_return attempt;
+    }
+  }
   if (at_primary) {
     // A replaced primary still answers reads, but refuses transactions that may write. The read is
     // therefore wrapped in such a transaction.
