--- a/tests/process/crowd_backend.cc
+++ b/tests/process/crowd_backend.cc
@@ -10,6 +10,7 @@
 #include <stdexcept>
 
 #include <fmt/format.h>
+#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
 #include "async/notifier.h"
@@ -58,7 +59,9 @@
 }
 
 void CrowdStore::Put(const std::string& table, const std::string& key, const std::string& value) {
-  m_tables[table][key] = {++m_version, EncodeBase64(value)};
+  boost::asio::post(m_context, [this, table, key, encoded = EncodeBase64(value)] {
+    m_tables[table][key] = {++m_version, encoded};
+  });
 }
 
 boost::asio::awaitable<HttpResponse> CrowdStore::Handle(HttpRequest request) {
--- a/tests/process/crowd_backend.h
+++ b/tests/process/crowd_backend.h
@@ -19,7 +19,7 @@
  public:
   CrowdStore();
   ~CrowdStore();
-  // Writes a row. Call it before a gateway is started.
+  // Writes a row.
   void Put(const std::string& table, const std::string& key, const std::string& value);
   const Address& address() const { return m_server->address(); }
 
@@ -33,7 +33,7 @@
   HttpResponse Apply(const std::string& body);
 
   boost::asio::io_context m_context{1};
-  // Used on the thread of the context, and before it runs.
+  // Used on the thread of the context.
   std::map<std::string, std::map<std::string, Row>> m_tables;
   std::uint64_t m_version = 0;
   std::unique_ptr<HttpServer> m_server;
--- a/tests/process/crowd_gateway.cc
+++ b/tests/process/crowd_gateway.cc
@@ -22,25 +22,6 @@
 constexpr Millis kRetryDelay{100};
 constexpr std::size_t kAddresses = 4;
 
-// Loopback addresses with ports that are free now.
-std::vector<Address> FreeAddresses(std::size_t count) {
-  namespace ip = boost::asio::ip;
-  boost::asio::io_context context;
-  std::vector<ip::tcp::acceptor> acceptors;
-  std::vector<Address> addresses;
-  for (std::size_t i = 0; i < count; ++i) {
-    acceptors.emplace_back(context, ip::tcp::endpoint(ip::address_v4::loopback(), 0));
-    addresses.push_back({"127.0.0.1", acceptors.back().local_endpoint().port()});
-  }
-  return addresses;
-}
-
-std::string ProgramDirectory() {
-  const auto directory = std::filesystem::read_symlink("/proc/self/exe").parent_path();
-  return std::filesystem::exists(directory / "cardamomd") ? directory.string()
-                                                          : directory.parent_path().string();
-}
-
 }  // namespace
 
 std::size_t PeakMemoryMb(pid_t pid) {
@@ -68,6 +49,24 @@
   return entries - 2;
 }
 
+std::vector<Address> FreeAddresses(std::size_t count) {
+  namespace ip = boost::asio::ip;
+  boost::asio::io_context context;
+  std::vector<ip::tcp::acceptor> acceptors;
+  std::vector<Address> addresses;
+  for (std::size_t i = 0; i < count; ++i) {
+    acceptors.emplace_back(context, ip::tcp::endpoint(ip::address_v4::loopback(), 0));
+    addresses.push_back({"127.0.0.1", acceptors.back().local_endpoint().port()});
+  }
+  return addresses;
+}
+
+std::string ProgramDirectory() {
+  const auto directory = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+  return std::filesystem::exists(directory / "cardamomd") ? directory.string()
+                                                          : directory.parent_path().string();
+}
+
 GatewayUnderTest::GatewayUnderTest(std::size_t memory_mb, std::size_t max_files)
     : m_addresses(FreeAddresses(kAddresses)),
       m_log_path((std::filesystem::temp_directory_path() / ("gateway-" + RandomId())).string()) {
--- a/tests/process/crowd_gateway.h
+++ b/tests/process/crowd_gateway.h
@@ -15,6 +15,11 @@
 std::size_t PeakMemoryMb(pid_t pid);
 std::size_t OpenDescriptors(pid_t pid);
 
+// Loopback addresses with ports that are free now. Thread safe.
+std::vector<Address> FreeAddresses(std::size_t count);
+// Directory of the programs under test. Thread safe.
+std::string ProgramDirectory();
+
 // Serves the database `db` on group `g`. Not thread safe.
 class GatewayUnderTest {
  public:
