Peers: forwarded texts that do not fit into a line are refused

A proxy that forwards a statement checks its caller's line for control characters; the home did not check the message again and would have written a CR LF in a text, an id, a value, a shape or an organisation's name into its line to a server, as a second statement. An id '-' would have run a caller's statement under the id of the proxy's own. No proxy sends such messages; found by reading, not seen in a run.

PeerCodecTest.TextsWithLineEndsAreRefused and .ForwardedIdsAreOneWord failed before and pass now (linked against the library before and after).

--- a/src/fleet/peer_codec.cc
+++ b/src/fleet/peer_codec.cc
@@ -1,7 +1,11 @@
 #include "fleet/peer_codec.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
+#include "core/plain_text.h"
+
 namespace cardamom {
 namespace {
 
@@ -19,6 +23,22 @@
   return span >= Duration::zero() && span <= kMaxDuration;
 }
 
+bool IsAbsentOrPlain(const std::optional<std::string>& text) {
+  return !text || IsPlainText(*text);
+}
+
+// Whether no text of the message could end a line to a server or start another one.
+bool FitsIntoLines(const PeerStatement& message) {
+  const bool values_fit = std::all_of(
+      message.values.begin(), message.values.end(),
+      [](const auto& entry) { return IsPlainText(entry.first) && IsPlainText(entry.second); });
+  const bool id_fits =
+      message.id != "-" && message.id.find(' ') == std::string::npos && IsPlainText(message.id);
+  return values_fit && id_fits && IsPlainText(message.text) && IsPlainText(message.name) &&
+         IsPlainText(message.value) && IsAbsentOrPlain(message.prepared_shape) &&
+         IsAbsentOrPlain(message.organisation);
+}
+
 }  // namespace
 
 PeerStatement ToMessage(PeerOperation operation, const GroupId& group, const StatementTask& task) {
@@ -66,6 +86,9 @@
   if (!enums_valid || !durations_valid) {
     return Error{ResultCode::kBadField, "a number out of range", Ran::kNo};
   }
+  if (!FitsIntoLines(message)) {
+    return Error{ResultCode::kBadField, "a text with control characters, or a bad id", Ran::kNo};
+  }
   ReceivedStatement in;
   in.operation = static_cast<PeerOperation>(message.operation);
   in.statement.id = RequestId(message.id);
