Peers: statements and rows need not be UTF-8

Behind homes, callers got BUSY or INDOUBT for statements whose text or rows were not UTF-8: the body of a message between proxies did not parse, so a read ran and its rows were never delivered, and a write was never sent on. Texts and rows are bytes of callers and servers; the codec of peer messages now parses them as such.

PeerCodecTest.TextsAndRowsMayBeAnyBytes and .UnreadableBodiesAreErrors are new and pass.

--- a/src/fleet/home_client.cc
+++ b/src/fleet/home_client.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "async/spawn.h"
+#include "fleet/peer_codec.h"
 
 namespace cardamom {
 namespace {
@@ -310,7 +311,7 @@
   }
   const auto& response = **exchange->answer;
   OnResponse(*peer);
-  auto reply = response.status == kOk ? DecodeJson<PeerReply>(response.body)
+  auto reply = response.status == kOk ? DecodeReply(response.body)
                                       : Outcome<PeerReply>(Error{ResultCode::kBadAnswer, "", {}});
   if (!reply) {
     result.status = ForwardResult::Status::kUnknown;
--- a/src/fleet/peer_codec.cc
+++ b/src/fleet/peer_codec.cc
@@ -1,6 +1,7 @@
 #include "fleet/peer_codec.h"
 
 #include <algorithm>
+#include <exception>
 #include <string_view>
 #include <utility>
 
@@ -39,8 +40,32 @@
          IsAbsentOrPlain(message.organisation);
 }
 
+template <typename Message>
+Outcome<Message> Decode(std::string_view body) {
+  boost::json::parse_options options;
+  options.allow_invalid_utf8 = true;
+  boost::system::error_code ec;
+  const auto json = boost::json::parse(body, ec, {}, options);
+  if (ec) {
+    return Error{ResultCode::kBadJson, ec.message()};
+  }
+  try {
+    return boost::json::value_to<Message>(json);
+  } catch (const std::exception& failure) {
+    return Error{ResultCode::kBadField, failure.what()};
+  }
+}
+
 }  // namespace
 
+Outcome<PeerStatement> DecodeStatement(std::string_view body) {
+  return Decode<PeerStatement>(body);
+}
+
+Outcome<PeerReply> DecodeReply(std::string_view body) {
+  return Decode<PeerReply>(body);
+}
+
 PeerStatement ToMessage(PeerOperation operation, const GroupId& group, const StatementTask& task) {
   PeerStatement message;
   message.operation = static_cast<int>(operation);
--- a/src/fleet/peer_codec.h
+++ b/src/fleet/peer_codec.h
@@ -1,11 +1,18 @@
 // Converts statements and replies to messages between proxies and back.
 #pragma once
 
+#include <string_view>
+
 #include "fleet/peer_messages.h"
 #include "gateway/statement_task.h"
 
 namespace cardamom {
 
+// Parse the bodies of messages between proxies. Their texts and rows are bytes of callers and
+// servers, which need not be UTF-8. Errors: kBadJson, kBadField. Pure and thread safe.
+Outcome<PeerStatement> DecodeStatement(std::string_view body);
+Outcome<PeerReply> DecodeReply(std::string_view body);
+
 // Returns the message for a statement; its times are set when it is sent. Pure and thread safe.
 PeerStatement ToMessage(PeerOperation operation, const GroupId& group, const StatementTask& task);
 
@@ -27,7 +34,8 @@
 };
 
 // Returns the statement of a message that arrived at `now` and `boot_now`, the same time on both
-// clocks. Errors: kBadField for numbers out of range. Pure and thread safe.
+// clocks. Errors: kBadField for numbers out of range, and for texts that do not fit into a line to
+// a server. Pure and thread safe.
 Outcome<ReceivedStatement> FromMessage(const PeerStatement& message,
                                        TimePoint now,
                                        BootTime boot_now);
--- a/src/fleet/peer_service.cc
+++ b/src/fleet/peer_service.cc
@@ -55,7 +55,7 @@
     response.status = kNotFound;
     co_return response;
   }
-  auto message = DecodeJson<PeerStatement>(request.body);
+  auto message = DecodeStatement(request.body);
   if (!message) {
     response.status = kBadRequest;
     response.body = message.error().detail;
--- a/tests/unit/peer_codec_test.cc
+++ b/tests/unit/peer_codec_test.cc
@@ -45,5 +45,29 @@
   }
 }
 
+// Guards against statements and rows that cannot be forwarded because they are not UTF-8.
+TEST(PeerCodecTest, TextsAndRowsMayBeAnyBytes) {
+  const std::string bytes = "\xff\xfe \xc3\x28\t\n\r\x01 \"\\ \xc3\xa4";
+  PeerStatement statement;
+  statement.text = bytes;
+  statement.values["name"] = bytes;
+  const auto statement_read = DecodeStatement(EncodeJson(statement));
+  ASSERT_TRUE(statement_read);
+  EXPECT_EQ(statement_read->text, bytes);
+  EXPECT_EQ(statement_read->values, statement.values);
+  PeerReply reply;
+  reply.rows = {bytes, "", bytes};
+  const auto reply_read = DecodeReply(EncodeJson(reply));
+  ASSERT_TRUE(reply_read);
+  EXPECT_EQ(reply_read->rows, reply.rows);
+}
+
+// Guards against a crash at a message that is no JSON or has members of other types.
+TEST(PeerCodecTest, UnreadableBodiesAreErrors) {
+  for (const std::string bad : {"", "{", "[]", R"({"rows": 1})", R"({"text": 1})"}) {
+    EXPECT_FALSE(DecodeReply(bad) && DecodeStatement(bad)) << bad;
+  }
+}
+
 }  // namespace
 }  // namespace cardamom::testing
