Tests: servers' rows of odd bytes, and forwarded statements without repeats

The servers of stutter_tests return rows with bare CR and LF, tabs and bytes that are not UTF-8, among them a row that would read as the end of an answer if lines ended at LF. A fleet whose gateways do not answer in time now fails its test instead of ending the program.

--- a/tests/process/stutter_connection.cc
+++ b/tests/process/stutter_connection.cc
@@ -1,6 +1,7 @@
 #include "stutter_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -22,6 +23,10 @@
   return field;
 }
 
+// Rows may hold anything but the end of a line.
+constexpr std::array<std::string_view, 8> kRowTexts = {
+    "row", "two  blanks ", "a\nb", "a\nCOMPLETE 1\nREADY I 1.1", "a\rb\r", "\xff\xfe", "\ttab", ""};
+
 std::string FormatPosition(const Commit& commit) {
   return fmt::format("{}.{}", commit.term, commit.index);
 }
@@ -187,7 +192,7 @@
     return RunCommit(id);
   }
   if (word == "BEGIN") {
-    return Chance(m_group.faults().own_busy) ? Fail("BUSY") : Begin(rest == "FETCH", has_position);
+    return Chance(m_group.faults().own_busy) ? Fail("BUSY") : Begin(rest == "FETCH");
   }
   if (!is_access) {
     return RunOwn(word, rest);
@@ -240,14 +245,13 @@
   return {};
 }
 
-Connection::Result Connection::Begin(bool read_only, bool has_position) {
+Connection::Result Connection::Begin(bool read_only) {
   if (m_state != 'I') {
     return {"MALFORMED"};
   }
   if (!m_group.IsPrimary(m_server.id()) && !read_only) {
     return {"READONLY"};
   }
-  static_cast<void>(has_position);
   m_state = 'T';
   m_transaction = m_group.journal().NextNumber();
   m_transaction_term = m_group.term();
@@ -285,7 +289,8 @@
   if (!writes) {
     const int rows = Below(kMaxRows + 1);
     for (int i = 0; i < rows; ++i) {
-      ran.rows.push_back(fmt::format("{}-{}", ran.mac, i));
+      const auto text = kRowTexts.at(static_cast<std::size_t>(Below(kRowTexts.size())));
+      ran.rows.push_back(fmt::format("{}-{} {}", ran.mac, i, text));
     }
   } else if (m_transaction != 0) {
     m_writes.push_back(id);
--- a/tests/process/stutter_connection.h
+++ b/tests/process/stutter_connection.h
@@ -49,7 +49,7 @@
                    Values values,
                    const std::string& shape);
   Result RunCommit(const std::string& id);
-  Result Begin(bool read_only, bool has_position);
+  Result Begin(bool read_only);
   Result Status();
   Result Fail(const std::string& code);
   void Reset();
--- a/tests/process/stutter_fleet.cc
+++ b/tests/process/stutter_fleet.cc
@@ -63,6 +63,19 @@
   }
   m_orders = std::move(*orders);
   m_thread = std::thread([this] { m_context.run(); });
+  try {
+    StartGateways(options);
+  } catch (...) {
+    Stop();
+    throw;
+  }
+}
+
+Fleet::~Fleet() {
+  Stop();
+}
+
+void Fleet::StartGateways(const FleetOptions& options) {
   for (std::size_t i = 0; i < options.gateways; ++i) {
     StartGateway(i, options);
   }
@@ -79,7 +92,7 @@
   }
 }
 
-Fleet::~Fleet() {
+void Fleet::Stop() {
   m_gateways.clear();
   for (const auto& path : m_log_paths) {
     std::error_code ignored;
--- a/tests/process/stutter_fleet.h
+++ b/tests/process/stutter_fleet.h
@@ -41,6 +41,9 @@
  private:
   boost::asio::awaitable<HttpResponse> Promote(HttpRequest request);
   void RegisterServers(Group& group);
+  // Starts them and waits until each answers. Throws std::runtime_error.
+  void StartGateways(const FleetOptions& options);
+  void Stop();
   void StartGateway(std::size_t number, const FleetOptions& options);
 
   std::vector<std::unique_ptr<Group>> m_groups;
--- a/tests/process/stutter_test.cc
+++ b/tests/process/stutter_test.cc
@@ -90,6 +90,16 @@
   RunAndJudge(options);
 }
 
+// As above, for statements that are forwarded to the home of their group.
+TEST(StutterTest, ServersThatAnswerHomesOnce) {
+  FleetOptions options;
+  options.gateways = 8;
+  options.direct_gateways = 1;
+  options.max_connections = 7;
+  options.faults.busy = 0.05;
+  RunAndJudge(options);
+}
+
 // Guards against answers that are taken for those of later statements.
 TEST(StutterTest, AnswersRepeatedSoonAfter) {
   FleetOptions options;
