Gateway: event 507 and a counter for answers of servers that belong to no request

What callers saw: successes with another statement's answer (MIXED). Logs and metrics could not tell a second copy of an answer from other causes. No decision changes.

--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -62,6 +62,7 @@
   kEndpointLeaving = 504,
   kPeerUnreachable = 505,
   kPeerReachable = 506,
+  kAnswerRepeated = 507,
   // 52x: quotas.
   kQuotaRefused = 520,
   kQuotaOwned = 521,
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -104,6 +104,9 @@
                   "Another proxy does not answer; its groups are asked elsewhere."},
     EventCodeInfo{EventCode::kPeerReachable, "peer_reachable", "info",
                   "Another proxy answers again."},
+    EventCodeInfo{EventCode::kAnswerRepeated, "answer_repeated", "warn",
+                  "An endpoint sent answers that belong to no request; at most one event in 10 s "
+                  "for each endpoint."},
     EventCodeInfo{EventCode::kQuotaRefused, "quota_refused", "info",
                   "Operations were refused because their organisation's quota is used up."},
     EventCodeInfo{EventCode::kQuotaOwned, "quota_owned", "info",
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -33,6 +33,10 @@
                             .Help("Primaries whose log ended before an acknowledged commit")
                             .Register(m_registry)
                             .Add({})),
+      m_unmatched_answers(prometheus::BuildCounter()
+                              .Name("cardamom_unmatched_answers_total")
+                              .Help("Answers of servers that belong to no request, by reason")
+                              .Register(m_registry)),
       m_durations(prometheus::BuildHistogram()
                       .Name("cardamom_statement_seconds")
                       .Help("Time from the arrival of a statement to its answer, by outcome")
@@ -124,6 +128,10 @@
   m_commits_missing.Increment();
 }
 
+void GatewayMetrics::CountUnmatchedAnswer(const char* reason) {
+  m_unmatched_answers.Add({{"reason", reason}}).Increment();
+}
+
 void GatewayMetrics::SetSessions(std::size_t count) {
   m_sessions.Set(static_cast<double>(count));
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -33,6 +33,8 @@
   void CountOrder(const char* outcome);
   // Counts a primary whose log ends before a commit that this proxy saw acknowledged.
   void CountCommitMissing();
+  // Counts an answer of a server that belongs to no request. `reason` is one of a fixed set.
+  void CountUnmatchedAnswer(const char* reason);
   // Sets the number of open sessions.
   void SetSessions(std::size_t count);
   // Sets the version of the configuration in force.
@@ -75,6 +77,7 @@
   prometheus::Family<prometheus::Counter>& m_promotions;
   prometheus::Family<prometheus::Counter>& m_orders;
   prometheus::Counter& m_commits_missing;
+  prometheus::Family<prometheus::Counter>& m_unmatched_answers;
   prometheus::Family<prometheus::Histogram>& m_durations;
   prometheus::Gauge& m_sessions;
   prometheus::Gauge& m_configuration;
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "async/spawn.h"
+#include "gateway/unmatched_answer_log.h"
 
 namespace cardamom {
 namespace {
@@ -98,6 +99,10 @@
       std::make_shared<LinkPool>(m_context.io, entry, m_context.open_link, LinkLimit());
   pool->SetEager(m_share.every_proxy_is_home);
   pool->CountIn(m_context.metrics.link_counters());
+  const auto unmatched =
+      std::make_shared<UnmatchedAnswerLog>(m_context.events, m_context.metrics, m_id, entry.id);
+  pool->SetOnUnmatchedAnswer(
+      [unmatched](const char* reason) { unmatched->Count(reason, Clock::now()); });
   ConcurrencyLimit::Options limit;
   limit.min_limit = 1;
   limit.max_limit = std::max<std::size_t>(kMinInProgress, LinkLimit());
--- a/src/pool/link_pool.cc
+++ b/src/pool/link_pool.cc
@@ -248,6 +248,7 @@
   }
   auto pooled = std::make_unique<PooledLink>();
   pooled->link = std::move(*link);
+  pooled->link->SetOnUnmatchedAnswer(m_on_unmatched_answer);
   pooled->organisation = organisation;
   co_return StartUse(std::move(pooled), use);
 }
--- a/src/pool/link_pool.h
+++ b/src/pool/link_pool.h
@@ -110,6 +110,11 @@
   // Counts in `counters` from now on; several pools may share them.
   void CountIn(std::shared_ptr<LinkCounters> counters) { m_counters = std::move(counters); }
 
+  // `hook` is set on links that are opened from now on; see EndpointLink.
+  void SetOnUnmatchedAnswer(EndpointLink::UnmatchedAnswerHook hook) {
+    m_on_unmatched_answer = std::move(hook);
+  }
+
   // Links in use, idle or being opened.
   std::size_t open_links() const { return m_open_links; }
   // Links in use or being opened.
@@ -193,6 +198,7 @@
   LinkChoice m_choice;
   std::vector<std::unique_ptr<PooledLink>> m_idle;
   std::list<WaiterPtr> m_waiters;
+  EndpointLink::UnmatchedAnswerHook m_on_unmatched_answer;
   std::shared_ptr<LinkCounters> m_counters = std::make_shared<LinkCounters>();
 };
 
--- a/src/statement/endpoint_link.h
+++ b/src/statement/endpoint_link.h
@@ -99,6 +99,11 @@
   // Closes the link at once; the server rolls back a transaction that is open on it.
   virtual void Close() = 0;
 
+  // Called with one of a fixed set of reasons when the server sends an answer that belongs to no
+  // request. The hook must not use the link.
+  using UnmatchedAnswerHook = std::function<void(const char* reason)>;
+  virtual void SetOnUnmatchedAnswer(UnmatchedAnswerHook /*hook*/) {}
+
   // Ends an idle link so that the server frees its place as soon as it learns of it.
   virtual void CloseIdle() { Close(); }
 };
