Links: replies are matched to requests by signature and state, not by count alone

What callers saw: success with the answer of the statement before, a COMMIT that was refused reported as done. Cause: an answer names no request, and servers may send one twice, the second time late. A link took every answer for the one to the next request, so that a copy put all later ones off by one. Change: ReplyMatcher (src/statement) knows the signatures, refusals, status rows and states that a link has delivered and says for each reply whether it matches, is a copy (dropped), may be one (marked) or is impossible (the link is closed, 608). Input that arrived before a request is dropped if it is certainly harmless; otherwise nothing is sent (Ran::kNo). Messages out of order no longer count as bad_answer, which a takeover takes for another process at the address.

--- a/include/cardamom/result_code.h
+++ b/include/cardamom/result_code.h
@@ -52,6 +52,7 @@
   kForbiddenPeer = 605,
   kConnectionRefused = 606,
   kNoAnswer = 607,
+  kUnmatchedAnswer = 608,
 };
 
 // Whether the work of a request was executed.
--- a/src/core/result_code.cc
+++ b/src/core/result_code.cc
@@ -79,6 +79,8 @@
                    "Nothing listens at the address; nothing ran."},
     ResultCodeInfo{ResultCode::kNoAnswer, "no_answer", 502,
                    "The other side did not answer in time."},
+    ResultCodeInfo{ResultCode::kUnmatchedAnswer, "unmatched_answer", 502,
+                   "The other side sent a reply that belongs to another request."},
 };
 
 }  // namespace
--- a/src/gateway/statement_batch.cc
+++ b/src/gateway/statement_batch.cc
@@ -40,6 +40,7 @@
                           const StatementBatch& batch) {
   EndpointRequest request;
   request.id = statement.id;
+  request.ends_transaction = statement.kind == StatementKind::kCommit;
   if (FindPrepared(statement, caller) != nullptr) {
     request.operation = EndpointOperation::kExecute;
     request.name = batch.prepared_name;
--- a/src/statement/endpoint_link.h
+++ b/src/statement/endpoint_link.h
@@ -49,6 +49,8 @@
   std::string name;
   std::string value;
   Access access = Access::kRead;
+  // The caller's statement ends its transaction if it succeeds.
+  bool ends_transaction = false;
   // The server refuses the request with kLagging unless its log holds this position.
   std::optional<Position> min_position;
   Term term;
@@ -68,6 +70,9 @@
 struct EndpointReply {
   Reply reply;
   std::optional<EndpointStatus> status;
+  // The reply may be the copy of an earlier one, and the reply to the request still to come. The
+  // link must be confirmed or closed; see ConfirmLink.
+  bool is_ambiguous = false;
 };
 
 // The replies to a batch of requests, in their order; fewer than requests if the link failed.
@@ -75,6 +80,9 @@
   std::vector<EndpointReply> replies;
   // Set if the link failed; `ran` indicates whether requests without a reply may have run.
   std::optional<Error> failure;
+  // Copies of earlier replies that were read and dropped in place of the replies, or had arrived
+  // after them.
+  std::size_t surplus = 0;
 };
 
 // Not thread safe: carries one batch at a time. A link that failed must not be used again.
@@ -86,7 +94,9 @@
   EndpointLink& operator=(const EndpointLink&) = delete;
 
   // Sends all requests in one write and reads their replies until `deadline`. If the server refuses
-  // a request, it still runs the ones after it. Precondition: IsOpen().
+  // a request, it still runs the ones after it. A reply that can only be the copy of an earlier one
+  // is dropped. Precondition: IsOpen(). Errors: kTransport, kNoAnswer and kUnmatchedAnswer; with
+  // Ran::kNo if nothing was sent.
   virtual asio::awaitable<BatchReply> Run(std::vector<EndpointRequest> requests,
                                           TimePoint deadline) = 0;
 
