Gateway: what is concluded from a reply rests on one that no earlier reply can stand in for

Cause: the copy of an earlier refusal looks like a refusal of the statement now, and the copy of an earlier BEGIN's reply like the position of the primary now. A COMMIT whose reply said that the transaction was still open was reported as done. Change: a refusal that may be a copy counts as "not run" only once an empty transaction on the link, which takes no slot, was answered with exactly its two replies (ConfirmLink); otherwise the outcome is unknown and the link is closed. Where no promise depends on it the check runs in the background. Positions come from statements that succeeded, not from the BEGIN; probes count only if no other reply was read; a status row seen before is confirmed; a COMMIT answered as not idle is unknown; the first read of a transaction at a replica names the position it needs. A server that sends unmatched answers is alive for a takeover, and not failing. FleetTest compares the signature with the statement's id, which is stricter than before.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "async/spawn.h"
+#include "gateway/link_check.h"
 #include "gateway/unmatched_answer_log.h"
 
 namespace cardamom {
@@ -270,6 +271,10 @@
     co_return *answer.failure;
   }
   const auto& reply = answer.replies.front();
+  if (reply.is_ambiguous && !co_await ConfirmLink(*lease, deadline)) {
+    co_return Error{ResultCode::kUnmatchedAnswer, "the status may be an earlier one",
+                    Ran::kUnknown};
+  }
   if (!reply.status) {
     const auto detail = reply.reply.error ? std::string(ToString(reply.reply.error->code)) : "";
     co_return Error{ResultCode::kOverloaded, "no status: " + detail, Ran::kNo};
@@ -309,12 +314,22 @@
     co_return std::nullopt;
   }
   const auto& begun = answer.replies.front().reply;
+  const auto& ended = answer.replies.back().reply;
+  if (answer.surplus > 0 || ended.state != SessionState::kIdle) {
+    // One of the replies may be an earlier one.
+    lease->Discard();
+    co_return std::nullopt;
+  }
   if (!begun.ok() || !begun.position) {
     if (begun.error && begun.error->code == StatementError::kReadOnly) {
       OnNotPrimary(endpoint);
     }
     co_return std::nullopt;
   }
+  if (!ended.ok() || begun.state != SessionState::kInTransaction) {
+    lease->Discard();
+    co_return std::nullopt;
+  }
   OnPrimaryAnswer(endpoint, asked_at, *begun.position);
   co_return begun.position;
 }
--- a/src/gateway/group_client_evidence.cc
+++ b/src/gateway/group_client_evidence.cc
@@ -117,6 +117,10 @@
     // The wait for a link expired at this proxy, which is no evidence against the server.
     return;
   }
+  if (error.code == ResultCode::kUnmatchedAnswer) {
+    // The server answers, though with replies that belong to other requests.
+    return;
+  }
   if (error.code == ResultCode::kOverloaded) {
     m_connection_limit_seen_at = now;
     return;
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -95,9 +95,10 @@
                                 failure->second.code == ResultCode::kConnectionRefused));
     server.was_primary = departed.was_primary;
     // A server that answers, though it is not stopped, may still acknowledge commits.
-    const bool alive =
-        answers.statuses.contains(server.endpoint) ||
-        (failure != paused.failures.end() && failure->second.code == ResultCode::kOverloaded);
+    const bool alive = answers.statuses.contains(server.endpoint) ||
+                       (failure != paused.failures.end() &&
+                        (failure->second.code == ResultCode::kOverloaded ||
+                         failure->second.code == ResultCode::kUnmatchedAnswer));
     if (!alive) {
       server.covered_by =
           process_gone ? departed.position_after_exit : departed.position_after_no_answer;
--- a/src/gateway/statement_attempt.h
+++ b/src/gateway/statement_attempt.h
@@ -21,6 +21,10 @@
   };
   Status status = Status::kNotRun;
   Reply reply;
+  // The reply may be the copy of an earlier one.
+  bool is_ambiguous = false;
+  // The server's replies show that the statement may have run outside its transaction.
+  bool may_have_run_outside = false;
   std::string reason;
   // When the statement was sent; not set if only requests before it were sent.
   std::optional<TimePoint> sent_at;
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "async/notifier.h"
+#include "gateway/link_check.h"
 #include "gateway/statement_limits.h"
 
 namespace cardamom {
@@ -123,15 +124,18 @@
       }
       co_return attempt;
     }
-    if (begun.position) {
-      group.OnPrimaryAnswer(endpoint, asked_at, *begun.position);
-    }
   }
   auto& reply = answer.replies[*batch.statement_index].reply;
   if (answer.replies.back().reply.state != SessionState::kIdle) {
     lease->Discard();
+  } else if (IsAnyAmbiguous(answer)) {
+    ConfirmInBackground(m_context.io, std::move(*lease));
   }
   if (reply.ok()) {
+    if (at_primary && reply.position) {
+      // Not the position of the begin: its reply may be that of an earlier one.
+      group.OnPrimaryAnswer(endpoint, asked_at, *reply.position);
+    }
     permit->OnSuccess();
     endpoint->latency.OnResponse(now - sent_at, now);
     if (!at_primary && reply.position) {
@@ -257,7 +261,12 @@
     co_return attempt;
   }
   const auto& reply = answer.replies.front().reply;
-  if (!reply.ok() && GuaranteesNotRun(reply.error->code)) {
+  if (reply.state != SessionState::kIdle) {
+    lease->Discard();
+  }
+  const bool confirmed = !answer.replies.front().is_ambiguous ||
+                         co_await ConfirmLink(*lease, Clock::now() + kConfirmTimeout);
+  if (!reply.ok() && GuaranteesNotRun(reply.error->code) && confirmed) {
     attempt.reason = std::string(ToString(reply.error->code));
     if (reply.error->code == StatementError::kReadOnly) {
       group.OnNotPrimary(endpoint);
--- a/src/gateway/statement_runner.h
+++ b/src/gateway/statement_runner.h
@@ -61,6 +61,12 @@
   asio::awaitable<void> Rollback(TransactionPin& pin);
 
  private:
+  // As Rollback. Returns whether the link is confirmed, so that the reply before was that to the
+  // statement sent last.
+  asio::awaitable<bool> RollbackAndConfirm(TransactionPin& pin);
+  // Ends the transaction of a failed statement, and sets the reason of `attempt`. Everything that
+  // ran in the transaction is rolled back. Returns whether a write may have run outside it.
+  asio::awaitable<bool> EndAfterFailure(StatementAttempt& attempt, TransactionPin& pin);
   // The position that a replica must have applied to answer a read of the task; nullopt if only the
   // primary may answer or no position could be determined in time.
   asio::awaitable<std::optional<Position>> NeededPosition(GroupClient& group,
@@ -91,9 +97,11 @@
                                                         StatementBatch& batch,
                                                         LinkPool::Lease& lease,
                                                         TimePoint deadline);
-  // Runs a statement of the open transaction: the first one, a later one or the commit.
+  // Runs a statement of the open transaction: the first one, a later one or the commit. A read at
+  // a replica is refused unless the replica has applied `after`, also if the begin was not run.
   asio::awaitable<StatementAttempt> RunInTransaction(const StatementTask& task,
-                                                     TransactionPin& pin);
+                                                     TransactionPin& pin,
+                                                     std::optional<Position> after = {});
   // Runs `batch` on the pin's link. The result holds the reply to the caller's statement, if the
   // batch has one.
   asio::awaitable<StatementAttempt> RunBatch(const StatementTask& task,
--- a/src/gateway/transaction_statements.cc
+++ b/src/gateway/transaction_statements.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include "async/notifier.h"
+#include "gateway/link_check.h"
 #include "gateway/statement_limits.h"
 #include "gateway/statement_runner.h"
 
@@ -11,11 +12,27 @@
 namespace {
 
 constexpr Millis kRollbackTimeout{300};
+// Reason for a commit that was answered as if it had not ended the transaction.
+constexpr const char* kStillOpen = "the transaction is still open";
+
+// Returns whether the server confirmed the rollback; otherwise closes the link.
+asio::awaitable<bool> RollbackLink(LinkPool::Lease& lease) {
+  std::vector<EndpointRequest> requests{OwnRequest(EndpointOperation::kRollback)};
+  const auto answer =
+      co_await lease->link->Run(std::move(requests), Clock::now() + kRollbackTimeout);
+  const bool confirmed = !answer.failure && answer.replies.front().reply.ok() &&
+                         answer.replies.front().reply.state == SessionState::kIdle;
+  if (!confirmed) {
+    lease.Discard();
+  }
+  co_return confirmed;
+}
 
 }  // namespace
 
 asio::awaitable<StatementAttempt> StatementRunner::RunInTransaction(const StatementTask& task,
-                                                                    TransactionPin& pin) {
+                                                                    TransactionPin& pin,
+                                                                    std::optional<Position> after) {
   StatementAttempt attempt;
   auto batch = BuildSetupBatch(*pin.lease, task.caller, &task.statement, true);
   if (batch.exceeds_names) {
@@ -35,6 +52,10 @@
   }
   batch.statement_index = batch.requests.size();
   batch.requests.push_back(ToRequest(task.statement, task.caller, batch));
+  if (task.statement.kind != StatementKind::kCommit &&
+      AccessOf(task.statement, task.caller) == Access::kRead) {
+    batch.requests.back().min_position = after;
+  }
   co_return co_await RunBatch(task, std::move(batch), pin);
 }
 
@@ -56,6 +77,9 @@
     attempt.status = answer.failure->ran == Ran::kNo ? StatementAttempt::Status::kNotRun
                                                      : StatementAttempt::Status::kUnknown;
     attempt.reason = answer.failure->detail;
+    attempt.may_have_run_outside = batch.statement_index &&
+                                   answer.failure->code == ResultCode::kUnmatchedAnswer &&
+                                   answer.failure->ran != Ran::kNo;
     co_return attempt;
   }
   if (!UpdateLinkState(batch, answer, *pin.lease)) {
@@ -76,17 +100,21 @@
       }
       co_return attempt;
     }
-    if (pin.at_primary && begun.position) {
-      pin.group->OnPrimaryAnswer(pin.endpoint, asked_at, *begun.position);
-    }
   }
   attempt.status = StatementAttempt::Status::kAnswered;
   if (!batch.statement_index) {
     co_return attempt;
   }
   attempt.reply = answer.replies[*batch.statement_index].reply;
+  attempt.is_ambiguous = IsAnyAmbiguous(answer);
   if (attempt.reply.ok()) {
     pin.endpoint->latency.OnResponse(now - sent_at, now);
+    if (pin.at_primary && attempt.reply.position &&
+        attempt.reply.state == SessionState::kInTransaction) {
+      // A statement of a plain transaction succeeds only at the primary. The reply to the begin may
+      // be that of an earlier one, so its position is not used.
+      pin.group->OnPrimaryAnswer(pin.endpoint, asked_at, *attempt.reply.position);
+    }
     if (!pin.at_primary && attempt.reply.position) {
       pin.group->OnReplicaAnswer(pin.endpoint, *attempt.reply.position);
     }
@@ -133,7 +161,7 @@
   // The statement is sent only after the begin has succeeded. In the same batch as a refused begin
   // it would run outside any transaction.
   pin.may_have_written = AccessOf(task.statement, task.caller) == Access::kWrite;
-  attempt = co_await RunInTransaction(task, pin);
+  attempt = co_await RunInTransaction(task, pin, after);
   if (attempt.status == StatementAttempt::Status::kAnswered && !attempt.reply.ok() &&
       attempt.reply.error->code == StatementError::kBusy) {
     permit->OnOverload();
@@ -173,18 +201,21 @@
     auto attempt = co_await OpenAt(*group, endpoint, after, task, read_only,
                                    FractionDeadline(task, kPrimaryWaitFraction), pin);
     if (attempt.status == StatementAttempt::Status::kAnswered && attempt.reply.ok()) {
+      if (commits && attempt.reply.state != SessionState::kIdle) {
+        pin.lease.Discard();
+        co_return m_outcome.MakeUnknownReply(*group, task, kStillOpen);
+      }
       m_outcome.LogAnswer(*group, task, *endpoint, after, attempt.reply);
       if (commits) {
         pin.lease.Release();
       }
       co_return attempt.reply;
     }
-    if (attempt.status == StatementAttempt::Status::kAnswered) {
-      attempt.reason = std::string(ToString(attempt.reply.error->code));
-    }
-    // Nothing was committed: everything that ran is rolled back with the transaction.
-    if (pin.IsOpen()) {
-      co_await Rollback(pin);
+    const bool ran_outside = co_await EndAfterFailure(attempt, pin);
+    if (ran_outside) {
+      auto unknown = m_outcome.MakeUnknownReply(*group, task, attempt.reason);
+      unknown.state = commits ? SessionState::kIdle : SessionState::kFailed;
+      co_return unknown;
     }
     reason = fmt::format("{} at {}", attempt.reason, endpoint->entry.id.value());
     if (attempt.busy && !needed) {
@@ -215,16 +246,14 @@
     m_outcome.LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
     co_return attempt.reply;
   }
-  if (pin.IsOpen()) {
-    co_await Rollback(pin);
+  const bool ran_outside = co_await EndAfterFailure(attempt, pin);
+  const auto reason = attempt.reason + " at " + endpoint->entry.id.value();
+  auto reply = ran_outside ? m_outcome.MakeUnknownReply(*pin.group, task, reason)
+                           : m_outcome.MakeRefusal(*pin.group, task, reason);
+  if (!ran_outside) {
+    // Without a commit the transaction has no effect, whether or not the statement ran.
+    reply.error->code = StatementError::kAborted;
   }
-  // Without a commit the transaction has no effect, whether or not the statement ran.
-  const auto reason = attempt.status == StatementAttempt::Status::kAnswered
-                          ? std::string(ToString(attempt.reply.error->code))
-                          : attempt.reason;
-  auto reply =
-      m_outcome.MakeRefusal(*pin.group, task, reason + " at " + endpoint->entry.id.value());
-  reply.error->code = StatementError::kAborted;
   reply.state = SessionState::kFailed;
   co_return reply;
 }
@@ -234,22 +263,23 @@
   const OutstandingCount counted(endpoint);
   const auto asked_at = BootClock::now();
   auto attempt = co_await RunInTransaction(task, pin);
-  if (attempt.status == StatementAttempt::Status::kAnswered && attempt.reply.ok()) {
+  const bool has_succeeded =
+      attempt.status == StatementAttempt::Status::kAnswered && attempt.reply.ok();
+  if (has_succeeded && attempt.reply.state != SessionState::kIdle) {
+    pin.lease.Discard();
+    co_return m_outcome.MakeUnknownReply(*pin.group, task, kStillOpen);
+  }
+  if (has_succeeded) {
     if (pin.may_have_written && attempt.reply.position) {
       pin.group->OnPrimaryAnswer(endpoint, asked_at, *attempt.reply.position);
       pin.group->OnCommitAcknowledged(*attempt.reply.position);
     }
-    if (attempt.reply.state == SessionState::kIdle) {
-      pin.lease.Release();
-    } else {
-      pin.lease.Discard();
-    }
-    attempt.reply.state = SessionState::kIdle;
+    pin.lease.Release();
     m_outcome.LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
     co_return attempt.reply;
   }
-  const bool refused = attempt.status == StatementAttempt::Status::kAnswered &&
-                       GuaranteesNotRun(attempt.reply.error->code);
+  bool refused = attempt.status == StatementAttempt::Status::kAnswered &&
+                 GuaranteesNotRun(attempt.reply.error->code);
   if (attempt.status == StatementAttempt::Status::kAnswered) {
     attempt.reason = std::string(ToString(attempt.reply.error->code));
   }
@@ -257,7 +287,11 @@
     pin.group->OnCommitOverdue(*attempt.sent_at);
   }
   if (pin.IsOpen()) {
-    co_await Rollback(pin);
+    if (attempt.is_ambiguous) {
+      refused = co_await RollbackAndConfirm(pin) && refused;
+    } else {
+      co_await Rollback(pin);
+    }
   }
   if (refused || !pin.may_have_written || attempt.status == StatementAttempt::Status::kNotRun) {
     auto reply = m_outcome.MakeRefusal(*pin.group, task,
@@ -268,15 +302,37 @@
   co_return m_outcome.MakeUnknownReply(*pin.group, task, attempt.reason);
 }
 
+asio::awaitable<bool> StatementRunner::EndAfterFailure(StatementAttempt& attempt,
+                                                       TransactionPin& pin) {
+  bool may_have_run_outside = attempt.may_have_run_outside;
+  if (attempt.status == StatementAttempt::Status::kAnswered) {
+    attempt.reason = std::string(ToString(attempt.reply.error->code));
+    // The refusal may be that of the begin, and the statement may have run without a transaction.
+    may_have_run_outside = attempt.is_ambiguous && attempt.reply.state == SessionState::kIdle;
+  }
+  may_have_run_outside = may_have_run_outside && pin.may_have_written;
+  if (pin.IsOpen() && may_have_run_outside) {
+    may_have_run_outside = !co_await RollbackAndConfirm(pin);
+  } else if (pin.IsOpen()) {
+    auto lease = std::move(pin.lease);
+    if (co_await RollbackLink(lease) && attempt.is_ambiguous) {
+      ConfirmInBackground(m_context.io, std::move(lease));
+    }
+  }
+  co_return may_have_run_outside;
+}
+
 asio::awaitable<void> StatementRunner::Rollback(TransactionPin& pin) {
   auto lease = std::move(pin.lease);
-  std::vector<EndpointRequest> requests{OwnRequest(EndpointOperation::kRollback)};
-  const auto answer =
-      co_await lease->link->Run(std::move(requests), Clock::now() + kRollbackTimeout);
-  if (answer.failure || !answer.replies.front().reply.ok() ||
-      answer.replies.front().reply.state != SessionState::kIdle) {
-    lease.Discard();
+  co_await RollbackLink(lease);
+}
+
+asio::awaitable<bool> StatementRunner::RollbackAndConfirm(TransactionPin& pin) {
+  auto lease = std::move(pin.lease);
+  if (!co_await RollbackLink(lease)) {
+    co_return false;
   }
+  co_return co_await ConfirmLink(lease, Clock::now() + kConfirmTimeout);
 }
 
 }  // namespace cardamom
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -96,7 +96,9 @@
     ASSERT_EQ(replies.size(), 2U);
     EXPECT_TRUE(replies[0].ok()) << replies[0].error->text;
     EXPECT_TRUE(replies[1].ok()) << replies[1].error->text;
-    EXPECT_EQ(replies[1].signature, "signed");
+    EXPECT_TRUE(replies[1].signature.starts_with("signed-")) << replies[1].signature;
+    EXPECT_TRUE(replies[1].signature.ends_with("-r-" + id)) << replies[1].signature;
+    EXPECT_TRUE(replies[0].signature.ends_with("-w-" + id)) << replies[0].signature;
     for (const auto& event : vm->Events(EventCode::kStatementForwarded)) {
       const auto detail = event.subject.detail;
       const auto home = detail.substr(3, detail.find(':') - 3);
--- a/tests/unit/gateway_fakes.cc
+++ b/tests/unit/gateway_fakes.cc
@@ -1,6 +1,7 @@
 #include "gateway_fakes.h"
 
 #include <algorithm>
+#include <deque>
 
 #include "async/notifier.h"
 
@@ -33,7 +34,8 @@
       if (is_statement) {
         co_await Sleep(m_server.statement_duration);
       }
-      batch.replies.push_back(Answer(request));
+      batch.replies.push_back(AnswerInTurn(request));
+      m_server.on_reply(request, batch.replies.back());
       if (m_server.restarts_after_status && request.operation == EndpointOperation::kStatus) {
         m_server.restarts_after_status = false;
         m_group.Restart(m_server, m_server.entry.started_ms);
@@ -54,6 +56,7 @@
 
  private:
   EndpointReply Fail(StatementError code) {
+    m_failed = m_in_transaction;
     const auto state = m_in_transaction ? SessionState::kFailed : SessionState::kIdle;
     return {ErrorReply(code, m_server.entry.id.value(), state), std::nullopt};
   }
@@ -72,6 +75,12 @@
     return {reply, std::nullopt};
   }
 
+  // Every success of a statement has a signature of its own.
+  EndpointReply SucceedSigned(const EndpointRequest& request) {
+    return Succeed("signed-" + m_server.entry.id.value() + "-" +
+                   std::to_string(++m_server.signatures) + "-" + request.id.value());
+  }
+
   EndpointReply Status() {
     if (m_server.slots_exhausted) {
       return Fail(StatementError::kBusy);
@@ -82,7 +91,25 @@
     return answer;
   }
 
+  EndpointReply AnswerInTurn(const EndpointRequest& request) {
+    const bool is_statement = !request.id.value().empty();
+    m_late.push_back(Answer(request));
+    if (is_statement && m_server.repeats_refusal()) {
+      auto copy = EndpointReply{
+          ErrorReply(StatementError::kBusy, m_server.entry.id.value(), SessionState::kIdle)};
+      copy.is_ambiguous = true;
+      return copy;
+    }
+    auto answer = std::move(m_late.front());
+    m_late.pop_front();
+    answer.is_ambiguous = is_statement && !answer.reply.ok() && m_server.refusals_are_known;
+    return answer;
+  }
+
   EndpointReply Answer(const EndpointRequest& request) {
+    if (m_failed && request.operation != EndpointOperation::kRollback) {
+      return Fail(StatementError::kMalformed);
+    }
     if (request.min_position && m_server.position() < *request.min_position) {
       return Fail(StatementError::kLagging);
     }
@@ -99,6 +126,7 @@
       case EndpointOperation::kRollback:
         m_pending.clear();
         m_in_transaction = false;
+        m_failed = false;
         return Succeed();
       case EndpointOperation::kSetValue:
         if (m_server.refuses_values()) {
@@ -158,7 +186,7 @@
       return Commit(request);
     }
     if (access == Access::kRead) {
-      auto answer = Succeed("signed");
+      auto answer = SucceedSigned(request);
       answer.reply.rows = m_server.rows;
       return answer;
     }
@@ -166,10 +194,10 @@
       return Fail(StatementError::kReadOnly);
     }
     m_pending.push_back(request.id.value());
-    return m_in_transaction ? Succeed("signed") : Commit(request);
+    return m_in_transaction ? SucceedSigned(request) : Commit(request);
   }
 
-  EndpointReply Commit(const EndpointRequest& /*request*/) {
+  EndpointReply Commit(const EndpointRequest& request) {
     if (!m_pending.empty() && !m_server.is_primary) {
       return Fail(StatementError::kReadOnly);
     }
@@ -179,7 +207,7 @@
         return Fail(StatementError::kTimeout);
       }
     }
-    return Succeed("signed");
+    return SucceedSigned(request);
   }
 
   FakeGroup& m_group;
@@ -187,9 +215,13 @@
   const int m_process;
   bool m_open = true;
   bool m_in_transaction = false;
+  // A statement of the transaction failed; only its end is accepted.
+  bool m_failed = false;
   SessionValues m_values;
   std::map<std::string, PreparedStatement> m_prepared;
   std::vector<std::string> m_pending;
+  // Replies that have not been sent yet.
+  std::deque<EndpointReply> m_late;
 };
 
 asio::awaitable<Outcome<std::unique_ptr<EndpointLink>>> OpenFake(FakeGroup& group,
--- a/tests/unit/gateway_fakes.h
+++ b/tests/unit/gateway_fakes.h
@@ -51,6 +51,14 @@
   // Whether it refuses the next request that sets or clears session values; the values stay then,
   // and requests after it run.
   std::function<bool()> refuses_values = [] { return false; };
+  // Whether the next statement is answered with the copy of an earlier refusal; it runs, and its
+  // own reply is that to the next request.
+  std::function<bool()> repeats_refusal = [] { return false; };
+  // Called with each request and its reply, which it may change.
+  std::function<void(const EndpointRequest&, EndpointReply&)> on_reply = [](const EndpointRequest&,
+                                                                            EndpointReply&) {};
+  // Refusals of statements are such as this link has had before.
+  bool refusals_are_known = false;
   // Time that a statement takes.
   Millis statement_duration{0};
   // Rows that a read returns.
@@ -64,6 +72,8 @@
   // Every statement that ran, preceded by "tx" (in a transaction) or "bare" and its session values.
   std::vector<std::string> ran;
   std::size_t links_opened = 0;
+  // Statements that succeeded, each of which got a signature of its own.
+  std::size_t signatures = 0;
 
   Position position() const {
     // Has the term of the last entry, which may be lower than the server's term.
