--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -43,6 +43,8 @@
   kPrimaryLostLead = 311,
   kCommitMissing = 312,
   kTokenAnnounced = 313,
+  kAcknowledgementsHeld = 314,
+  kAcknowledgementsReleased = 315,
   // 4xx: requests.
   kWriteWaited = 400,
   kOutcomeUnknown = 401,
