--- a/src/failover/successor.cc
+++ b/src/failover/successor.cc
@@ -30,7 +30,8 @@
 
 }  // namespace
 
-std::optional<EndpointId> ChooseSuccessor(const std::vector<StopResult>& servers) {
+std::optional<EndpointId> ChooseSuccessor(const std::vector<StopResult>& servers,
+                                          Position acknowledged) {
   std::optional<Position> old_primary_end;
   Position longest;
   const StopResult* best_replica = nullptr;
@@ -49,7 +50,7 @@
       longest = std::max(longest, server.received);
     }
   }
-  if (best_replica != nullptr) {
+  if (best_replica != nullptr && best_replica->received >= acknowledged) {
     const auto lost = FindLostServers(servers, best_replica->received);
     const bool holds_primary_log = old_primary_end && best_replica->received >= *old_primary_end;
     const bool longest_of_all =
@@ -60,7 +61,8 @@
       return best_replica->endpoint;
     }
   }
-  if (primary != nullptr && primary->received == *old_primary_end &&
+  if (primary != nullptr && primary->received >= acknowledged &&
+      primary->received == *old_primary_end &&
       FindLostServers(servers, primary->received).primaries.empty()) {
     return primary->endpoint;
   }
--- a/src/failover/successor.h
+++ b/src/failover/successor.h
@@ -35,8 +35,10 @@
 // - The old primary is stopped, no other primary is lost, and the chosen replica holds its whole
 //   log, whether or not the other replicas are stopped.
 // A stopped old primary may become primary again if no replica is known to hold every commit.
-// Several entries with the same id stand for successive processes of one server. Pure and thread
-// safe.
-std::optional<EndpointId> ChooseSuccessor(const std::vector<StopResult>& servers);
+// Several entries with the same id stand for successive processes of one server. The log of the
+// chosen server reaches `acknowledged`, the greatest position that callers were told of. Pure and
+// thread safe.
+std::optional<EndpointId> ChooseSuccessor(const std::vector<StopResult>& servers,
+                                          Position acknowledged = {});
 
 }  // namespace cardamom
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -23,6 +23,9 @@
 // that the store receives at most 200 such writes a second.
 constexpr Millis kRegisterSpreadPerVm{5};
 
+// Other proxies read that a proxy leaves within this time.
+constexpr Millis kLeavingIsListed{2000};
+
 Millis RandomSpread(Millis longest) {
   static thread_local std::minstd_rand random{std::random_device{}()};
   return Millis(std::uniform_int_distribution<std::int64_t>(0, longest.count())(random));
@@ -135,8 +138,16 @@
     const auto entry = vms.find(vm);
     return entry == vms.end() || entry->second != m_vms[vm];
   });
-  m_vms = std::move(vms);
   m_members_changed_at = Clock::now();
+  for (const auto& [key, vm] : m_vms) {
+    if (!vms.contains(key)) {
+      m_departed.insert_or_assign(key, std::pair(vm, m_members_changed_at));
+    }
+  }
+  std::erase_if(m_departed, [&](const auto& entry) {
+    return vms.contains(entry.first) || m_members_changed_at - entry.second.second > StopTime();
+  });
+  m_vms = std::move(vms);
   m_homes.clear();
   std::set<FailureDomain> domains;
   for (const auto& [key, vm] : m_vms) {
@@ -160,6 +171,21 @@
   return all;
 }
 
+std::vector<VmEntry> Fleet::RunningVms() const {
+  auto running = vms();
+  const auto now = Clock::now();
+  for (const auto& [key, departed] : m_departed) {
+    if (now - departed.second <= StopTime()) {
+      running.push_back(departed.first);
+    }
+  }
+  return running;
+}
+
+Millis Fleet::StopTime() const {
+  return Millis(m_context.settings.stop_limit_ms) + kLeavingIsListed;
+}
+
 const VmEntry* Fleet::Find(const std::string& vm) const {
   const auto it = m_vms.find(vm);
   return it == m_vms.end() ? nullptr : &it->second;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "directory/table_follower.h"
@@ -39,6 +40,8 @@
   const VmEntry& self() const { return m_self; }
   // All proxies that are not leaving; includes this one unless it is leaving.
   std::vector<VmEntry> vms() const;
+  // As vms(), and those that began to leave so recently that their processes may still run.
+  std::vector<VmEntry> RunningVms() const;
   // The entry of `vm`, or nullptr. Valid until the list changes.
   const VmEntry* Find(const std::string& vm) const;
 
@@ -60,6 +63,7 @@
   // Records whether `vm` answers none of this proxy's requests. While all homes of a group by the
   // list are silent, the next VMs of the ranking that are not silent take their place.
   void SetSilent(const std::string& vm, bool silent);
+  bool IsSilent(const std::string& vm) const { return m_silent.contains(vm); }
   bool AreHomesReplaced(const GroupId& group, std::size_t max_connections) const;
   // VMs to try as homes of the group, best first, if all its homes by the list are silent;
   // otherwise none.
@@ -91,6 +95,8 @@
     bool replaced = false;
   };
 
+  // The time within which a process that has left has ended.
+  Millis StopTime() const;
   // Writes this proxy's row if it is missing or differs from m_self.
   void RegisterIfNeeded();
   asio::awaitable<void> Register();
@@ -111,6 +117,8 @@
   // Proxies whose row showed that they leave, until the row is written anew. A store that was
   // restored from an older copy may show them as members again.
   std::set<std::string> m_left;
+  // Members that began to leave or disappeared, with the time when this proxy noticed.
+  std::map<std::string, std::pair<VmEntry, TimePoint>> m_departed;
   // VMs that do not answer this proxy.
   std::set<std::string> m_silent;
   std::size_t m_domain_count = 1;
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -17,6 +17,8 @@
 inline constexpr const char* kPeerPingPath = "/v1/peer/ping";
 inline constexpr const char* kPeerTablePath = "/v1/peer/table";
 inline constexpr const char* kPeerStorePath = "/v1/peer/store";
+inline constexpr const char* kPeerHoldPath = "/v1/peer/hold";
+inline constexpr const char* kPeerReleasePath = "/v1/peer/release";
 
 // What a home is asked to do with a statement. The numbers are part of the protocol.
 enum class PeerOperation : int {
@@ -150,4 +152,29 @@
 };
 BOOST_DESCRIBE_STRUCT(PeerStoreReply, (), (in_step))
 
+// POST kPeerHoldPath: asks the proxy to hold back acknowledgements of commits of `group`, see
+// AcknowledgementHold.
+struct PeerHold {
+  std::string group;
+  std::uint64_t token = 0;
+};
+BOOST_DESCRIBE_STRUCT(PeerHold, (), (group, token))
+
+struct PeerHoldReply {
+  // False: the proxy has seen a greater token.
+  bool held = false;
+  // See AcknowledgementHold::passed_on.
+  Position passed_on;
+};
+BOOST_DESCRIBE_STRUCT(PeerHoldReply, (), (held, passed_on))
+
+// POST kPeerReleasePath: ends a hold, see HoldRelease. The answer is empty.
+struct PeerRelease {
+  std::string group;
+  std::uint64_t token = 0;
+  Term term;
+  std::optional<Position> base;
+};
+BOOST_DESCRIBE_STRUCT(PeerRelease, (), (group, token, term, base))
+
 }  // namespace cardamom
--- a/src/fleet/remote_path.cc
+++ b/src/fleet/remote_path.cc
@@ -52,6 +52,23 @@
                     state);
 }
 
+// The reply of a home to a commit. The home counts the commit among those that it has passed on,
+// but a takeover may reach this proxy and not the home.
+asio::awaitable<Reply> PassOn(GatewayContext& context,
+                              GroupId group,
+                              TimePoint deadline,
+                              Reply reply) {
+  if (!reply.ok() || !reply.position) {
+    co_return reply;
+  }
+  const AcknowledgedCommit commit{{}, *reply.position};
+  const bool passed = co_await context.acknowledgements.Of(group).PassOn(commit, deadline);
+  if (passed) {
+    co_return reply;
+  }
+  co_return ErrorReply(StatementError::kInDoubt, "the primary was replaced", SessionState::kIdle);
+}
+
 class RemoteTransaction : public OpenTransaction {
  public:
   RemoteTransaction(GatewayContext& context,
@@ -85,7 +102,11 @@
     auto result = co_await Call(PeerOperation::kCommit, task);
     m_id.clear();
     if (result.status == ForwardStatus::kAnswered) {
-      co_return FromMessage(std::move(result.reply));
+      auto reply = FromMessage(std::move(result.reply));
+      if (!m_wrote) {
+        co_return reply;
+      }
+      co_return co_await PassOn(m_context, m_group, task.deadline, std::move(reply));
     }
     if (result.status == ForwardStatus::kNotRun || !m_wrote) {
       co_return Refusal(StatementError::kAborted, result, SessionState::kIdle);
@@ -159,8 +180,10 @@
   }
   LogForwarding(m_context, m_group, task, result);
   switch (result.status) {
-    case ForwardStatus::kAnswered:
-      co_return FromMessage(std::move(result.reply));
+    case ForwardStatus::kAnswered: {
+      auto reply = FromMessage(std::move(result.reply));
+      co_return co_await PassOn(m_context, m_group, task.deadline, std::move(reply));
+    }
     case ForwardStatus::kNotRun:
       co_return Refusal(StatementError::kBusy, result, SessionState::kIdle);
     case ForwardStatus::kUnknown:
--- /dev/null
+++ b/src/gateway/acknowledgement_gate.h
@@ -0,0 +1,59 @@
+// Holds acknowledgements of commits back while a takeover is under way.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "async/notifier.h"
+#include "events/event_log.h"
+#include "failover/acknowledgement_hold.h"
+
+namespace cardamom {
+
+// Every acknowledgement of a commit of one group passes its gate before the caller, or the proxy
+// that forwarded the statement, is told. Not thread safe.
+class AcknowledgementGate {
+ public:
+  // `events` must outlive the gate.
+  AcknowledgementGate(EventLog& events, GroupId group);
+
+  // See AcknowledgementHold.
+  bool Hold(std::uint64_t token);
+  bool Release(const HoldRelease& release);
+  const AcknowledgementHold& hold() const { return m_hold; }
+
+  // Waits while acknowledgements are held back. Returns false if the commit may be missing in the
+  // log of the present primary, or the hold has not ended by `deadline`: the outcome of the
+  // statement is unknown then.
+  asio::awaitable<bool> PassOn(AcknowledgedCommit commit, TimePoint deadline);
+
+  // Waits until no acknowledgement is held back: a commit that is sent before would only wait for
+  // its acknowledgement. Returns false if the hold has not ended by `deadline`, or is not expected
+  // to end soon.
+  asio::awaitable<bool> WaitUntilOpen(TimePoint deadline);
+
+ private:
+  EventLog& m_events;
+  const GroupId m_group;
+  AcknowledgementHold m_hold;
+  std::size_t m_waiting = 0;
+  Notifier m_changed;
+};
+
+// The gates of all groups. A gate stays when its group is closed at this proxy. Not thread safe.
+class AcknowledgementGates {
+ public:
+  // `events` must outlive the object.
+  explicit AcknowledgementGates(EventLog& events) : m_events(events) {}
+
+  // The gate of `group`, which is created if there is none. Valid as long as the object.
+  AcknowledgementGate& Of(const GroupId& group);
+
+ private:
+  EventLog& m_events;
+  std::map<GroupId, std::unique_ptr<AcknowledgementGate>> m_gates;
+};
+
+}  // namespace cardamom
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,6 +66,7 @@
               {&m_fleet.follower(), &m_directory.configuration_follower(),
                &m_directory.servers_follower()},
               [this](const std::string& table) { return m_relayed.IsFromStore(table); }),
+      m_hold_peers(m_context, m_fleet, m_homes),
       m_quota_peers(m_context),
       m_quota_service(m_context, m_fleet, m_quota_peers, MakeQuotaHooks()),
       m_quota_client(m_context, m_quota_service, m_quota_peers),
@@ -78,6 +79,7 @@
           [this] { return m_directory.RefreshServers(); },
           [this](StoreEra era) { return m_directory.EraAge(era); },
           [this] { m_directory.RecordStoreFailure(); },
+          MakeHoldHooks(),
           m_outage_takeover),
       m_coordinator(m_context, m_directory, m_takeover, m_outage_takeover) {
   m_homes.set_on_silence(
@@ -101,6 +103,18 @@
     return AskAboutStore(m_context, m_homes, m_fleet.HomesOf(group, MaxConnections(group)),
                          m_fleet.self().id);
   };
+  hooks.hold = MakeHoldHooks();
+  return hooks;
+}
+
+HoldHooks Gateway::MakeHoldHooks() {
+  HoldHooks hooks;
+  hooks.hold = [this](GroupId group, std::uint64_t token) {
+    return m_hold_peers.Hold(std::move(group), token);
+  };
+  hooks.release = [this](const GroupId& group, const HoldRelease& release) {
+    m_hold_peers.Release(group, release);
+  };
   return hooks;
 }
 
@@ -194,6 +208,9 @@
   if (request.target == kPeerMemberPath) {
     return m_member_cleanup.Answer(std::move(request.body));
   }
+  if (request.target == kPeerHoldPath || request.target == kPeerReleasePath) {
+    return m_hold_peers.Handle(std::move(request));
+  }
   if (request.target == kPeerQuotaPath) {
     return m_quota_service.Handle(std::move(request));
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "fleet/fleet.h"
+#include "fleet/hold_peers.h"
 #include "fleet/home_client.h"
 #include "fleet/member_cleanup.h"
 #include "fleet/peer_service.h"
@@ -77,6 +78,7 @@
   std::shared_ptr<StatementPath> FindUnmeteredPath(const Route& route);
   QuotaService::Hooks MakeQuotaHooks();
   OutageHooks MakeOutageHooks();
+  HoldHooks MakeHoldHooks();
   LinkStates CountLinks() const;
   std::size_t MaxConnections(const GroupId& group) const;
   asio::awaitable<void> StopGracefully(StopHooks hooks);
@@ -92,6 +94,7 @@
   MemberCleanup m_member_cleanup;
   StatementRunner m_runner;
   PeerService m_peers;
+  HoldPeers m_hold_peers;
   QuotaPeers m_quota_peers;
   QuotaService m_quota_service;
   QuotaClient m_quota_client;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "events/event_log.h"
+#include "gateway/acknowledgement_gate.h"
 #include "gateway/gateway_metrics.h"
 #include "settings/gateway_settings.h"
 #include "statement/endpoint_link.h"
@@ -18,6 +19,7 @@
   EventLog& events;
   GatewayMetrics& metrics;
   LinkOpener open_link;
+  AcknowledgementGates acknowledgements{events};
 };
 
 }  // namespace cardamom
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -85,6 +85,8 @@
   GroupClient(GatewayContext& context, GroupId id);
 
   const GroupId& id() const { return m_id; }
+  // The gate that every acknowledgement of a commit passes.
+  AcknowledgementGate& acknowledgements() { return m_context.acknowledgements.Of(m_id); }
 
   // Adopts the latest server list and settings of the group.
   void Update(const std::vector<EndpointEntry>& entries, const GroupSettings& settings);
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -31,9 +31,10 @@
       m_order(std::move(order)),
       m_hooks(std::move(hooks)) {}
 
-bool OutageTakeover::IsReservationUsable(const HeldReservation& held,
-                                         const GroupClient& group) const {
-  return held.reservation && !held.unusable && !held.ordered_successor &&
+bool OutageTakeover::IsReservationUsable(const HeldReservation& held, GroupClient& group) const {
+  // Proxies refuse the hold of a token that is lower than one that they have seen.
+  return held.reservation && held.reservation->token >= group.acknowledgements().hold().token() &&
+         !held.unusable && !held.ordered_successor &&
          EraOfToken(held.reservation->token) == m_hooks.store_era() &&
          held.reservation->term == group.term() &&
          held.reservation->servers == group.SnapshotServerList().servers;
@@ -88,6 +89,7 @@
                                                reservation->servers.size())});
   held.reservation = std::move(reservation);
   held.ordered_successor.reset();
+  held.unanswered = false;
   held.unusable = false;
 }
 
@@ -161,35 +163,44 @@
   co_return ToSurveyedServers(answers.statuses);
 }
 
-asio::awaitable<std::optional<EndpointId>> OutageTakeover::StopAndChoose(
-    std::shared_ptr<GroupClient> group,
-    TokenReservation reservation,
-    TimePoint opened_before) {
+void OutageTakeover::ReleaseUnchanged(const GroupId& group, const TokenReservation& reservation) {
+  m_hooks.hold.release(group, {reservation.token, reservation.term, std::nullopt});
+}
+
+asio::awaitable<SuccessorChoice> OutageTakeover::StopAndChoose(std::shared_ptr<GroupClient> group,
+                                                               TokenReservation reservation,
+                                                               TimePoint opened_before) {
   const Term stop_at(reservation.term.value() + 1);
   const ControlRequest stop{.term = stop_at, .opened_before = opened_before};
   const ServerStatuses none;
-  const auto choice = co_await StopAndChooseSuccessor(m_context, group, none, stop);
+  PendingHold hold(m_context, m_hooks.hold, group->id(), reservation.token);
+  hold.Start();
+  // The store, which could tell of further servers, does not answer.
+  const RefreshServers no_refresh;
+  auto choice = co_await StopAndChooseSuccessor(m_context, group, none, stop, hold, no_refresh);
   if (!choice.successor) {
     BackOff(*group, choice.objection + ":" + choice.logs);
-    co_return std::nullopt;
+    co_return choice;
   }
   if (group->SnapshotServerList().servers != reservation.servers) {
     BackOff(*group, "the servers changed after they were stopped");
-    co_return std::nullopt;
+    choice.successor.reset();
+    co_return choice;
   }
   m_context.events.Emit(EventCode::kReservedTermUsed,
                         {.group = group->id(),
                          .term = stop_at,
                          .detail = fmt::format("token {} for {}; logs:{}", reservation.token,
                                                choice.successor->value(), choice.logs)});
-  co_return choice.successor;
+  co_return choice;
 }
 
 asio::awaitable<TakeoverResult> OutageTakeover::Order(std::shared_ptr<GroupClient> group,
                                                       EndpointId successor) {
   auto& held = m_held[group->id()];
   held.ordered_successor = successor;
-  const auto token = held.reservation->token;
+  const auto reservation = *held.reservation;
+  const auto token = reservation.token;
   const auto ordered =
       co_await m_order(group->id().value(), successor.value(), held.reservation->holder, token,
                        Clock::now() + kOrderTimeout);
@@ -199,16 +210,21 @@
                          .detail = fmt::format("{} for failed, reserved token {}, {}",
                                                successor.value(), token, DescribeOrder(ordered))});
   if (!ordered) {
+    held.unanswered = true;
     co_return TakeoverResult::kUnfinished;
   }
   if (*ordered == OrderResult::kRejected) {
     // The platform has seen a greater token, or the successor does not run. The takeover has to
     // wait for the store.
     held.unusable = true;
+    if (!held.unanswered) {
+      ReleaseUnchanged(group->id(), reservation);
+    }
     co_return TakeoverResult::kBackedOff;
   }
   const auto promoted_at = co_await WaitUntilPrimary(group, successor);
   if (promoted_at) {
+    m_hooks.hold.release(group->id(), {token, Term(reservation.term.value() + 1), held.log_end});
     m_context.events.Emit(EventCode::kPrimaryPromoted,
                           {.group = group->id(),
                            .term = group->term(),
@@ -255,14 +271,16 @@
   }
   const auto valid_until = BootClock::now() + kTokenValidity;
   m_held[group->id()].valid_until = valid_until;
-  const auto successor = co_await StopAndChoose(group, reservation, opened_before);
-  if (!successor || BootClock::now() > valid_until) {
+  const auto choice = co_await StopAndChoose(group, reservation, opened_before);
+  if (!choice.successor || BootClock::now() > valid_until) {
     // The servers stay stopped. A proxy that finds them so finishes the takeover once the store is
     // available again.
     m_held[group->id()].unusable = true;
+    ReleaseUnchanged(group->id(), reservation);
     co_return TakeoverResult::kBackedOff;
   }
-  co_return co_await Order(group, *successor);
+  m_held[group->id()].log_end = choice.log_end;
+  co_return co_await Order(group, *choice.successor);
 }
 
 }  // namespace cardamom
--- a/src/gateway/outage_takeover.h
+++ b/src/gateway/outage_takeover.h
@@ -9,7 +9,7 @@
 #include "directory/table_port.h"
 #include "failover/outage_rules.h"
 #include "gateway/fence_store.h"
-#include "gateway/server_poll.h"
+#include "gateway/successor_choice.h"
 #include "gateway/takeover_result.h"
 
 namespace cardamom {
@@ -26,6 +26,7 @@
   std::function<Duration(StoreEra era)> era_age;
   // Asks the other homes of the group whether the store answers them.
   std::function<asio::awaitable<std::vector<StoreReport>>(GroupId group)> ask_other_homes;
+  HoldHooks hold;
 };
 
 // Not thread safe: all use is on the thread of `context`, which must outlive the object.
@@ -54,6 +55,10 @@
     // The server whose promotion was ordered with the token. The token must not be used for
     // another.
     std::optional<EndpointId> ordered_successor;
+    // End of its log.
+    Position log_end;
+    // An order with the token got no answer.
+    bool unanswered = false;
     // The order may be repeated until this time: the servers are stopped, so the logs that were
     // compared have not changed.
     BootTime valid_until;
@@ -71,15 +76,17 @@
   // The reservation written to the store, or nothing.
   asio::awaitable<std::optional<TokenReservation>> WriteReservation(
       std::shared_ptr<GroupClient> group);
-  bool IsReservationUsable(const HeldReservation& held, const GroupClient& group) const;
+  bool IsReservationUsable(const HeldReservation& held, GroupClient& group) const;
   asio::awaitable<std::vector<SurveyedServer>> Survey(std::shared_ptr<GroupClient> group,
                                                       TimePoint opened_before);
-  // Stops the servers and chooses the successor. Returns nothing if no choice is safe.
-  asio::awaitable<std::optional<EndpointId>> StopAndChoose(std::shared_ptr<GroupClient> group,
-                                                           TokenReservation reservation,
-                                                           TimePoint opened_before);
+  // Stops the servers and chooses the successor; there is none if no choice is safe.
+  asio::awaitable<SuccessorChoice> StopAndChoose(std::shared_ptr<GroupClient> group,
+                                                 TokenReservation reservation,
+                                                 TimePoint opened_before);
   asio::awaitable<TakeoverResult> RunWithReservation(std::shared_ptr<GroupClient> group);
   asio::awaitable<TakeoverResult> Order(std::shared_ptr<GroupClient> group, EndpointId successor);
+  // Ends the hold of an attempt whose token was not used for an order that may be outstanding.
+  void ReleaseUnchanged(const GroupId& group, const TokenReservation& reservation);
   // Logs `reason` and returns kBackedOff.
   TakeoverResult BackOff(const GroupClient& group, const std::string& reason);
 
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -170,14 +170,6 @@
   std::vector<StopResult> m_servers;
 };
 
-bool WereAllAsked(const GroupClient& group, const std::vector<StopResult>& servers) {
-  const auto& listed = group.endpoints();
-  return std::all_of(listed.begin(), listed.end(), [&servers](const auto& item) {
-    return std::any_of(servers.begin(), servers.end(),
-                       [&item](const StopResult& server) { return server.endpoint == item.first; });
-  });
-}
-
 }  // namespace
 
 asio::awaitable<ServerAnswers> SendToServers(GatewayContext& context,
@@ -296,32 +288,6 @@
   co_return false;
 }
 
-asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(GatewayContext& context,
-                                                        std::shared_ptr<GroupClient> group,
-                                                        ServerStatuses statuses,
-                                                        ControlRequest stop) {
-  const auto servers = co_await StopServers(context, group, statuses, stop);
-  SuccessorChoice choice;
-  choice.stopped_at = Clock::now();
-  choice.logs = DescribeStopped(servers);
-  if (co_await AnyPrimaryWorks(group, servers)) {
-    // It keeps acknowledging commits, since it did not obey the stop.
-    choice.objection = "the primary works";
-    co_return choice;
-  }
-  const auto successor = ChooseSuccessor(servers);
-  if (!successor) {
-    choice.objection = "no safe successor";
-  } else if (!co_await AreStillStopped(context, group, servers, stop)) {
-    choice.objection = "a server did not stay stopped";
-  } else if (!WereAllAsked(*group, servers)) {
-    choice.objection = "a server was listed after the others were stopped";
-  } else {
-    choice.successor = successor;
-  }
-  co_return choice;
-}
-
 std::vector<SurveyedServer> ToSurveyedServers(const ServerStatuses& statuses) {
   std::vector<SurveyedServer> servers;
   servers.reserve(statuses.size());
@@ -331,6 +297,11 @@
   return servers;
 }
 
+bool IsAnyPaused(const ServerStatuses& statuses) {
+  return std::any_of(statuses.begin(), statuses.end(),
+                     [](const auto& entry) { return entry.second.paused_at > entry.second.term; });
+}
+
 bool ShowNoTakeover(const GroupClient& group, const ServerStatuses& statuses) {
   std::vector<EndpointId> listed;
   for (const auto& [id, endpoint] : group.endpoints()) {
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -55,26 +55,12 @@
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
                                       std::vector<StopResult> servers);
 
-// The server to promote, or why there is none. A value type.
-struct SuccessorChoice {
-  std::optional<EndpointId> successor;
-  std::string objection;
-  // The compared logs, for a log line, and when the servers had been stopped.
-  std::string logs;
-  TimePoint stopped_at;
-};
-
-// Stops the servers of a group as StopServers does, compares their logs and chooses the server to
-// promote. There is none if a primary works, if a server did not stay stopped, or if one was listed
-// meanwhile, which may hold commits that the others lack. Not thread safe.
-asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(GatewayContext& context,
-                                                        std::shared_ptr<GroupClient> group,
-                                                        ServerStatuses statuses,
-                                                        ControlRequest stop);
-
 // What the servers in `statuses` reported. Pure and thread safe.
 std::vector<SurveyedServer> ToSurveyedServers(const ServerStatuses& statuses);
 
+// Whether a server is paused at a newer term than that of its log. Pure and thread safe.
+bool IsAnyPaused(const ServerStatuses& statuses);
+
 // Whether the servers of the group that are listed, or departed without notice, show that no
 // takeover is under way. Not thread safe.
 bool ShowNoTakeover(const GroupClient& group, const ServerStatuses& statuses);
--- a/src/gateway/statement_attempt.h
+++ b/src/gateway/statement_attempt.h
@@ -24,6 +24,8 @@
   std::string reason;
   // When the statement was sent; not set if only requests before it were sent.
   std::optional<TimePoint> sent_at;
+  // The greatest position that the server had reported before the statement was sent.
+  Position known_before;
   // The server refused the statement because its queue was full.
   bool busy = false;
 };
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -240,6 +240,7 @@
     }
   }
   std::vector<EndpointRequest> requests{ToRequest(task.statement, task.caller, batch)};
+  attempt.known_before = endpoint->last_position;
   const auto asked_at = BootClock::now();
   const auto sent_at = Clock::now();
   const auto answer = co_await (*lease)->link->Run(std::move(requests), task.deadline);
@@ -273,7 +274,6 @@
     permit->OnSuccess();
     endpoint->latency.OnResponse(now - sent_at, now);
     group.OnPrimaryAnswer(endpoint, asked_at, *reply.position);
-    group.OnCommitAcknowledged(*reply.position);
   }
   attempt.status =
       reply.ok() ? StatementAttempt::Status::kAnswered : StatementAttempt::Status::kUnknown;
@@ -283,16 +283,41 @@
   co_return attempt;
 }
 
+asio::awaitable<bool> StatementRunner::PassOn(GroupClient& group,
+                                              const StatementTask& task,
+                                              const StatementAttempt& answered) {
+  if (!answered.reply.position) {
+    co_return true;
+  }
+  const auto& known = answered.known_before;
+  const AcknowledgedCommit commit{{known.term, LogIndex(known.index.value() + 1)},
+                                  *answered.reply.position};
+  const bool passed = co_await group.acknowledgements().PassOn(commit, task.deadline);
+  if (passed) {
+    group.OnCommitAcknowledged(commit.at_most);
+  }
+  co_return passed;
+}
+
 asio::awaitable<Reply> StatementRunner::Write(std::shared_ptr<GroupClient> group,
                                               StatementTask task) {
   std::string reason = "no primary";
   for (int i = 0; i < kMaxAttempts; ++i) {
-    const auto endpoint =
-        co_await group->WaitForPrimary(FractionDeadline(task, kPrimaryWaitFraction));
+    const auto send_by = FractionDeadline(task, kPrimaryWaitFraction);
+    const bool open = co_await group->acknowledgements().WaitUntilOpen(send_by);
+    if (!open) {
+      break;
+    }
+    const auto endpoint = co_await group->WaitForPrimary(send_by);
     if (!endpoint) {
       break;
     }
     auto attempt = co_await WriteAt(*group, endpoint, task);
+    if (attempt.status == StatementAttempt::Status::kAnswered &&
+        !co_await PassOn(*group, task, attempt)) {
+      attempt.status = StatementAttempt::Status::kUnknown;
+      attempt.reason = "the primary was replaced";
+    }
     switch (attempt.status) {
       case StatementAttempt::Status::kAnswered:
         m_outcome.LogAnswer(*group, task, *endpoint, std::nullopt, attempt.reply);
--- a/src/gateway/statement_runner.h
+++ b/src/gateway/statement_runner.h
@@ -94,6 +94,10 @@
   // Runs a statement of the open transaction: the first one, a later one or the commit.
   asio::awaitable<StatementAttempt> RunInTransaction(const StatementTask& task,
                                                      TransactionPin& pin);
+  // Waits until the acknowledgement of a commit may be passed on, see AcknowledgementGate::PassOn.
+  static asio::awaitable<bool> PassOn(GroupClient& group,
+                                      const StatementTask& task,
+                                      const StatementAttempt& answered);
   // Runs `batch` on the pin's link. The result holds the reply to the caller's statement, if the
   // batch has one.
   asio::awaitable<StatementAttempt> RunBatch(const StatementTask& task,
--- /dev/null
+++ b/src/gateway/successor_choice.cc
@@ -0,0 +1,112 @@
+#include "gateway/successor_choice.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "async/spawn.h"
+
+namespace cardamom {
+namespace {
+
+// Longest wait for the list of servers just before an order.
+constexpr Millis kListTimeout{250};
+
+// Reads the server list while other requests are under way.
+class BackgroundRead {
+ public:
+  BackgroundRead(GatewayContext& context, RefreshServers refresh) {
+    if (!refresh) {
+      m_state->done = true;
+      return;
+    }
+    Spawn(context.io, [state = m_state, refresh = std::move(refresh)]() -> asio::awaitable<void> {
+      co_await refresh();
+      state->done = true;
+      state->changed.NotifyAll();
+    });
+  }
+
+  // Waits until the list has been read, but not long for a store that does not answer.
+  asio::awaitable<void> Wait() {
+    const std::function<bool()> done = [state = m_state] { return state->done; };
+    co_await m_state->changed.WaitUntil(done, m_deadline);
+  }
+
+ private:
+  struct State {
+    bool done = false;
+    Notifier changed;
+  };
+  const std::shared_ptr<State> m_state = std::make_shared<State>();
+  const TimePoint m_deadline = Clock::now() + kListTimeout;
+};
+
+// Whether `servers` names every server that is listed, or was until a moment ago.
+bool WereAllAsked(const GroupClient& group, const std::vector<StopResult>& servers) {
+  std::set<EndpointId> asked;
+  for (const auto& server : servers) {
+    asked.insert(server.endpoint);
+  }
+  const auto& listed = group.endpoints();
+  const auto departed = group.Departed();
+  return std::all_of(listed.begin(), listed.end(),
+                     [&](const auto& item) { return asked.contains(item.first); }) &&
+         std::all_of(departed.begin(), departed.end(), [&](const DepartedServer& server) {
+           return asked.contains(server.endpoint->entry.id);
+         });
+}
+
+}  // namespace
+
+asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(GatewayContext& context,
+                                                        std::shared_ptr<GroupClient> group,
+                                                        ServerStatuses statuses,
+                                                        ControlRequest stop,
+                                                        PendingHold hold,
+                                                        RefreshServers refresh_servers) {
+  const auto servers = co_await StopServers(context, group, statuses, stop);
+  SuccessorChoice choice;
+  choice.stopped_at = Clock::now();
+  choice.logs = DescribeStopped(servers);
+  if (co_await AnyPrimaryWorks(group, servers)) {
+    // It keeps acknowledging commits, since it did not obey the stop.
+    choice.objection = "the primary works";
+    co_return choice;
+  }
+  if (!ChooseSuccessor(servers)) {
+    choice.objection = "no safe successor";
+    co_return choice;
+  }
+  hold.Start();
+  const auto held = co_await hold.Wait();
+  choice.logs += "; " + DescribeHold(held);
+  const auto successor = ChooseSuccessor(servers, held.passed_on);
+  if (held.refused) {
+    choice.objection = "a proxy has seen a greater token";
+    co_return choice;
+  }
+  if (!successor) {
+    choice.objection = "no log is known to hold what was acknowledged";
+    co_return choice;
+  }
+  BackgroundRead list(context, std::move(refresh_servers));
+  if (!co_await AreStillStopped(context, group, servers, stop)) {
+    choice.objection = "a server did not stay stopped";
+    co_return choice;
+  }
+  co_await list.Wait();
+  if (!WereAllAsked(*group, servers)) {
+    choice.objection = "a server was listed after the others were stopped";
+    co_return choice;
+  }
+  choice.successor = successor;
+  for (const auto& server : servers) {
+    if (server.endpoint == *successor && server.stopped) {
+      choice.log_end = server.received;
+    }
+  }
+  co_return choice;
+}
+
+}  // namespace cardamom
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -12,13 +12,8 @@
 
 constexpr Millis kStoreTimeout{800};
 constexpr Millis kStoreTimeoutInOutage{200};
-constexpr Millis kControlTimeout{400};
-// Last probe of a primary that seems to have failed.
-constexpr Millis kLastProbeTimeout{120};
 constexpr Millis kOrderTimeout{300};
 constexpr Millis kAnnouncementPause{50};
-// A replica that still lacks an earlier position of the primary after this time is cut off from it.
-constexpr Millis kStallCheck{300};
 
 std::string_view NameOf(TakeoverReason reason) {
   switch (reason) {
@@ -43,11 +38,6 @@
       loaded.row.reserved ? fmt::format(", reserved token {}", loaded.row.reserved->token) : "");
 }
 
-bool IsAnyPaused(const ServerStatuses& statuses) {
-  return std::any_of(statuses.begin(), statuses.end(),
-                     [](const auto& entry) { return entry.second.paused_at > entry.second.term; });
-}
-
 std::vector<EndpointId> PrimariesIn(const ServerStatuses& statuses) {
   std::vector<EndpointId> primaries;
   for (const auto& [id, status] : statuses) {
@@ -58,6 +48,15 @@
   return primaries;
 }
 
+// Whether all replicas, as far as the list shows them, have answered: otherwise an attempt is
+// likely to end without an order.
+bool AreReplicasReached(const GroupClient& group, const ServerStatuses& statuses) {
+  const auto& listed = group.endpoints();
+  return std::all_of(listed.begin(), listed.end(), [&](const auto& item) {
+    return statuses.contains(item.first) || group.primary_id() == item.first;
+  });
+}
+
 // Whether the order will certainly not be carried out.
 bool IsRefused(const Outcome<OrderResult>& ordered) {
   return ordered ? *ordered == OrderResult::kRejected : ordered.error().ran == Ran::kNo;
@@ -71,6 +70,7 @@
                    RefreshServers refresh_servers,
                    EraAge era_age,
                    OnStoreFailure on_store_failure,
+                   HoldHooks hold_hooks,
                    OutageTakeover& outage)
     : m_context(context),
       m_fences(std::move(table)),
@@ -78,6 +78,7 @@
       m_refresh_servers(std::move(refresh_servers)),
       m_era_age(std::move(era_age)),
       m_on_store_failure(std::move(on_store_failure)),
+      m_hold_hooks(std::move(hold_hooks)),
       m_outage(outage) {}
 
 void Takeover::Log(EventCode code, const GroupClient& group, const std::string& detail, Term term) {
@@ -145,16 +146,6 @@
   co_return claim.announced;
 }
 
-asio::awaitable<ServerStatuses> Takeover::Survey(std::shared_ptr<GroupClient> group) {
-  std::vector<GroupClient::EndpointPtr> all;
-  for (const auto& [id, endpoint] : group->endpoints()) {
-    all.push_back(endpoint);
-  }
-  const ControlRequest question;
-  auto answers = co_await SendToServers(m_context, group, all, question);
-  co_return std::move(answers.statuses);
-}
-
 asio::awaitable<bool> Takeover::UpdateRow(const GroupClient& group,
                                           Claim& claim,
                                           std::function<FenceRow(FenceRow, std::int64_t)> change) {
@@ -207,60 +198,6 @@
   co_await SendToServers(m_context, group, replicas, resume);
 }
 
-asio::awaitable<bool> Takeover::ConfirmStall(std::shared_ptr<GroupClient> group,
-                                             const ServerStatuses& before) {
-  Position primary_at;
-  std::vector<GroupClient::EndpointPtr> replicas;
-  for (const auto& [id, status] : before) {
-    if (status.is_primary) {
-      primary_at = std::max(primary_at, status.received);
-    } else if (const auto endpoint = group->Find(id)) {
-      replicas.push_back(endpoint);
-    }
-  }
-  co_await Sleep(kStallCheck);
-  const ControlRequest question;
-  const auto after = co_await SendToServers(m_context, group, replicas, question);
-  const auto& statuses = after.statuses;
-  co_return !statuses.empty() &&
-      std::all_of(statuses.begin(), statuses.end(),
-                  [&](const auto& entry) { return entry.second.received < primary_at; });
-}
-
-asio::awaitable<bool> Takeover::IsPrimaryAlive(GroupClient& group) {
-  const auto primary = group.primary();
-  if (!primary) {
-    co_return false;
-  }
-  const auto position = co_await group.ProbeIfPrimary(primary, Clock::now() + kLastProbeTimeout);
-  // A server that is too busy to complete the handshake is alive.
-  co_return position.has_value() || group.IsAtConnectionLimit();
-}
-
-asio::awaitable<std::optional<EndpointId>> Takeover::FindHealthyPrimary(
-    std::shared_ptr<GroupClient> group,
-    TakeoverReason reason,
-    const ServerStatuses& statuses) {
-  for (const auto& [id, status] : statuses) {
-    const auto endpoint = group->Find(id);
-    if (!status.is_primary || !endpoint || endpoint->entry.leaving) {
-      continue;
-    }
-    // Paused replicas receive nothing, so they do not show whether the primary is cut off.
-    if (reason == TakeoverReason::kStalled && !IsAnyPaused(statuses)) {
-      const bool stalled = co_await ConfirmStall(group, statuses);
-      if (stalled) {
-        continue;
-      }
-    }
-    const auto position = co_await group->ProbeIfPrimary(endpoint, Clock::now() + kControlTimeout);
-    if (position) {
-      co_return id;
-    }
-  }
-  co_return std::nullopt;
-}
-
 asio::awaitable<TakeoverResult> Takeover::Run(std::shared_ptr<GroupClient> group,
                                               TakeoverReason reason) {
   Log(EventCode::kPrimarySuspected, *group,
@@ -295,10 +232,11 @@
                                                   TakeoverReason reason,
                                                   Claim claim) {
   // A primary that only seems to be cut off is kept without an announcement, which would make the
-  // reserved token void.
-  const bool may_keep =
-      claim.outstanding == OutstandingOrder::kNone ||
-      (claim.outstanding == OutstandingOrder::kReservation && reason == TakeoverReason::kStalled);
+  // reserved token void. A hold shows that an order may have been sent.
+  const bool is_held = group->acknowledgements().hold().IsHeld(BootClock::now());
+  const bool may_keep = claim.outstanding == OutstandingOrder::kNone ||
+                        (claim.outstanding == OutstandingOrder::kReservation &&
+                         reason == TakeoverReason::kStalled && !is_held);
   ServerStatuses statuses;
   if (may_keep) {
     statuses = co_await Survey(group);
@@ -350,9 +288,18 @@
     co_await Resume(group, claim, primary);
   }
   group->ClearStallEvidence();
+  const bool none_outstanding = claim.announced || claim.outstanding == OutstandingOrder::kNone;
+  if (none_outstanding &&
+      (claim.announced || group->acknowledgements().hold().IsHeld(BootClock::now()))) {
+    ReleaseUnchanged(*group, claim, statuses.at(primary).term);
+  }
   co_return TakeoverResult::kHasPrimary;
 }
 
+void Takeover::ReleaseUnchanged(const GroupClient& group, const Claim& claim, Term leading) {
+  m_hold_hooks.release(group.id(), {claim.row.token, leading, std::nullopt});
+}
+
 asio::awaitable<TakeoverResult> Takeover::GiveUp(std::shared_ptr<GroupClient> group,
                                                  Claim claim,
                                                  std::string reason) {
@@ -370,21 +317,36 @@
                                                   TakeoverReason reason,
                                                   ServerStatuses statuses,
                                                   Claim claim) {
-  auto term = group->term();
+  // The terms at which replicas were paused may be greater than any that a server has led.
+  auto leading = group->term();
+  auto newest = leading;
   for (const auto& [id, status] : statuses) {
-    term = std::max({term, status.term, status.paused_at});
+    leading = std::max(leading, status.term);
+    newest = std::max({newest, status.term, status.paused_at});
+  }
+  const Term stop_at(newest.value() + 1);
+  PendingHold hold(m_context, m_hold_hooks, group->id(), claim.row.token);
+  if (AreReplicasReached(*group, statuses)) {
+    hold.Start();
   }
-  const Term stop_at(term.value() + 1);
   // The row is marked before the logs are read, so that the order follows them at once.
   const bool marked = co_await SetOrderOutstanding(*group, claim, true);
   if (!marked) {
     Log(EventCode::kPromotionFailed, *group, "the row was not marked", stop_at);
+    if (hold.IsStarted()) {
+      ReleaseUnchanged(*group, claim, leading);
+    }
     co_return TakeoverResult::kBackedOff;
   }
   const ControlRequest stop{.term = stop_at, .valid_until = claim.valid_until};
-  const auto choice = co_await StopAndChooseSuccessor(m_context, group, statuses, stop);
+  const auto choice =
+      co_await StopAndChooseSuccessor(m_context, group, statuses, stop, hold, m_refresh_servers);
   if (!choice.successor) {
-    co_return co_await GiveUp(group, claim, choice.objection + ":" + choice.logs);
+    const auto result = co_await GiveUp(group, claim, choice.objection + ":" + choice.logs);
+    if (hold.IsStarted() && result == TakeoverResult::kBackedOff) {
+      ReleaseUnchanged(*group, claim, leading);
+    }
+    co_return result;
   }
   if (BootClock::now() > claim.valid_until) {
     Log(EventCode::kPromotionFailed, *group, "the token's validity has ended:" + choice.logs,
@@ -398,14 +360,13 @@
   m_context.metrics.CountOrder(NameOf(ordered));
   claim.announced = claim.announced || ordered.has_value();
   Log(EventCode::kPromotionOrdered, *group,
-      fmt::format("{} for {}, token {}, {}; acknowledged {}.{}; {} ms after the logs:{}",
-                  choice.successor->value(), NameOf(reason), claim.row.token,
-                  DescribeOrder(ordered), group->acknowledged().term.value(),
-                  group->acknowledged().index.value(),
+      fmt::format("{} for {}, token {}, {}; {} ms after the logs:{}", choice.successor->value(),
+                  NameOf(reason), claim.row.token, DescribeOrder(ordered),
                   ToMillis(Clock::now() - choice.stopped_at).count(), choice.logs),
       stop_at);
   if (IsRefused(ordered)) {
     co_await SetOrderOutstanding(*group, claim, false);
+    ReleaseUnchanged(*group, claim, leading);
   }
   if (!ordered || *ordered != OrderResult::kAccepted) {
     co_return TakeoverResult::kUnfinished;
@@ -413,6 +374,7 @@
   // The promotion itself resumes the other replicas.
   const auto promoted_at = co_await WaitUntilPrimary(group, *choice.successor);
   if (promoted_at) {
+    m_hold_hooks.release(group->id(), {claim.row.token, Term(leading.value() + 1), choice.log_end});
     Log(EventCode::kPrimaryPromoted, *group, DescribePromoted(*choice.successor, *promoted_at),
         group->term());
     co_await SetOrderOutstanding(*group, claim, false);
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -12,7 +12,7 @@
 #include "failover/successor.h"
 #include "gateway/fence_store.h"
 #include "gateway/outage_takeover.h"
-#include "gateway/server_poll.h"
+#include "gateway/successor_choice.h"
 #include "gateway/takeover_result.h"
 
 namespace cardamom {
@@ -30,8 +30,6 @@
 // context.
 class Takeover {
  public:
-  // Reads the server list again. Returns false if the store does not answer.
-  using RefreshServers = std::function<asio::awaitable<bool>()>;
   // How long ago this proxy first observed the era of the store; 0 if it has not yet.
   using EraAge = std::function<Duration(StoreEra era)>;
   // Records that the store did not answer.
@@ -43,6 +41,7 @@
            RefreshServers refresh_servers,
            EraAge era_age,
            OnStoreFailure on_store_failure,
+           HoldHooks hold_hooks,
            OutageTakeover& outage);
 
   // Makes one attempt. If it ends half-way, the group is left to the next attempt, which uses a
@@ -102,10 +101,15 @@
                                               Claim claim,
                                               EndpointId primary,
                                               ServerStatuses statuses);
-  // Ends an attempt that stopped the servers and sent no order.
+  // Ends an attempt that stopped the servers and sent no order. Returns kBackedOff if all is as
+  // before.
   asio::awaitable<TakeoverResult> GiveUp(std::shared_ptr<GroupClient> group,
                                          Claim claim,
                                          std::string reason);
+  // Ends the hold of an attempt that sent no order, or whose order was refused, and holds with
+  // lower tokens. `leading`: the greatest term of a primary of the group. Precondition: no order is
+  // outstanding.
+  void ReleaseUnchanged(const GroupClient& group, const Claim& claim, Term leading);
   // A primary that works and need not be replaced, such as one that only this proxy had lost
   // contact with.
   asio::awaitable<std::optional<EndpointId>> FindHealthyPrimary(std::shared_ptr<GroupClient> group,
@@ -126,6 +130,7 @@
   const RefreshServers m_refresh_servers;
   const EraAge m_era_age;
   const OnStoreFailure m_on_store_failure;
+  const HoldHooks m_hold_hooks;
   OutageTakeover& m_outage;
 };
 
--- a/src/gateway/takeover_coordinator.cc
+++ b/src/gateway/takeover_coordinator.cc
@@ -135,8 +135,9 @@
   observation.has_primary = primary != nullptr;
   observation.health = group->health();
   observation.no_primary_since = state.no_primary_since;
-  observation.unfinished = state.unfinished;
   const auto delay = StartDelay(group->id());
+  const auto& hold = group->acknowledgements().hold();
+  observation.unfinished = state.unfinished || hold.IsLeftBehind(BootClock::now() - delay);
   if (primary && primary->entry.leaving) {
     observation.primary_leaving = now - *primary->leaving_since > delay * 2;
   }
--- a/src/gateway/takeover_coordinator.h
+++ b/src/gateway/takeover_coordinator.h
@@ -36,7 +36,7 @@
   PrimaryHealth health;
   // Since when no primary has been known.
   std::optional<TimePoint> no_primary_since;
-  // The last attempt of this proxy left replicas stopped.
+  // The last attempt of this proxy left replicas stopped, or another proxy has left a hold behind.
   bool unfinished = false;
 };
 
--- /dev/null
+++ b/src/gateway/takeover_hold.h
@@ -0,0 +1,68 @@
+// What a takeover asks of the proxies of the fleet, itself included.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "async/notifier.h"
+#include "cardamom/strong.h"
+#include "failover/acknowledgement_hold.h"
+#include "gateway/gateway_context.h"
+
+namespace cardamom {
+
+// The answers of the proxies to a request to hold back acknowledgements. A value type.
+struct HoldReport {
+  // A log that holds every commit that the proxies which answered have passed on reaches this
+  // position.
+  Position passed_on;
+  // A proxy has seen a greater token.
+  bool refused = false;
+  std::size_t answered = 0;
+  // VM ids of the proxies that gave no answer in time although they may run.
+  std::vector<std::string> silent;
+};
+
+// How a takeover reaches the proxies.
+struct HoldHooks {
+  // Asks all proxies to hold back acknowledgements of `group`, and returns after a bounded wait for
+  // those that do not answer.
+  std::function<asio::awaitable<HoldReport>(GroupId group, std::uint64_t token)> hold;
+  // Starts to tell all proxies that the hold has ended; does not wait for them.
+  std::function<void(GroupId group, HoldRelease release)> release;
+};
+
+// A hold that the proxies are asked for while other requests are under way. Copies share one hold.
+// Not thread safe.
+class PendingHold {
+ public:
+  // `context` and `hooks` must outlive the object and the requests.
+  PendingHold(GatewayContext& context, const HoldHooks& hooks, GroupId group, std::uint64_t token);
+
+  // Starts to ask the proxies, unless that has been done.
+  void Start();
+  bool IsStarted() const { return m_state->started; }
+
+  // The answers. Precondition: IsStarted().
+  asio::awaitable<HoldReport> Wait();
+
+ private:
+  struct State {
+    HoldReport report;
+    bool started = false;
+    bool done = false;
+    Notifier changed;
+  };
+  GatewayContext& m_context;
+  const HoldHooks& m_hooks;
+  GroupId m_group;
+  std::uint64_t m_token;
+  std::shared_ptr<State> m_state = std::make_shared<State>();
+};
+
+// The report for a log line. Pure and thread safe.
+std::string DescribeHold(const HoldReport& report);
+
+}  // namespace cardamom
--- a/src/gateway/transaction_statements.cc
+++ b/src/gateway/transaction_statements.cc
@@ -47,6 +47,7 @@
   if (batch.statement_index) {
     attempt.sent_at = sent_at;
   }
+  attempt.known_before = pin.endpoint->last_position;
   const auto answer = co_await pin.lease->link->Run(batch.requests, task.deadline);
   const auto now = Clock::now();
   if (answer.failure) {
@@ -87,6 +88,10 @@
   attempt.reply = answer.replies[*batch.statement_index].reply;
   if (attempt.reply.ok()) {
     pin.endpoint->latency.OnResponse(now - sent_at, now);
+    if (attempt.reply.position) {
+      auto& last_position = pin.endpoint->last_position;
+      last_position = std::max(last_position, *attempt.reply.position);
+    }
     if (!pin.at_primary && attempt.reply.position) {
       pin.group->OnReplicaAnswer(pin.endpoint, *attempt.reply.position);
     }
@@ -232,18 +237,30 @@
 asio::awaitable<Reply> StatementRunner::Commit(StatementTask task, TransactionPin& pin) {
   const auto endpoint = pin.endpoint;
   const OutstandingCount counted(endpoint);
+  if (pin.may_have_written) {
+    const bool open = co_await pin.group->acknowledgements().WaitUntilOpen(
+        FractionDeadline(task, kPrimaryWaitFraction));
+    if (!open) {
+      co_await Rollback(pin);
+      auto reply = m_outcome.MakeRefusal(*pin.group, task, "no primary");
+      reply.error->code = StatementError::kAborted;
+      co_return reply;
+    }
+  }
   const auto asked_at = BootClock::now();
   auto attempt = co_await RunInTransaction(task, pin);
   if (attempt.status == StatementAttempt::Status::kAnswered && attempt.reply.ok()) {
     if (pin.may_have_written && attempt.reply.position) {
       pin.group->OnPrimaryAnswer(endpoint, asked_at, *attempt.reply.position);
-      pin.group->OnCommitAcknowledged(*attempt.reply.position);
     }
     if (attempt.reply.state == SessionState::kIdle) {
       pin.lease.Release();
     } else {
       pin.lease.Discard();
     }
+    if (pin.may_have_written && !co_await PassOn(*pin.group, task, attempt)) {
+      co_return m_outcome.MakeUnknownReply(*pin.group, task, "the primary was replaced");
+    }
     attempt.reply.state = SessionState::kIdle;
     m_outcome.LogAnswer(*pin.group, task, *endpoint, std::nullopt, attempt.reply);
     co_return attempt.reply;
--- a/tests/unit/fleet_fakes.cc
+++ b/tests/unit/fleet_fakes.cc
@@ -161,6 +161,9 @@
   };
   ports.order = [this](std::string, std::string endpoint, std::string, std::uint64_t,
                        TimePoint) -> asio::awaitable<Outcome<OrderResult>> {
+    if (before_order) {
+      co_await before_order();
+    }
     fake_group.Promote(endpoint);
     co_return OrderResult::kAccepted;
   };
--- a/tests/unit/fleet_fakes.h
+++ b/tests/unit/fleet_fakes.h
@@ -69,6 +69,8 @@
                  const std::map<std::string, std::string>& organisation_of_key);
 
   boost::asio::io_context io;
+  // Called before an order is carried out.
+  std::function<asio::awaitable<void>()> before_order;
   FakeGroup fake_group{3};
   FakeTable table;
   Millis transaction_idle{3000};
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -26,6 +26,7 @@
             [this] { return Refresh(); },
             [this](StoreEra /*era*/) { return m_era_age; },
             [this] { ++m_store_failures; },
+            MakeHoldHooks(),
             m_outage) {
     m_gateway.Run([this]() -> asio::awaitable<void> {
       co_await m_gateway.group->WaitForPrimary(Clock::now() + Millis(500));
@@ -79,6 +80,24 @@
     hooks.ask_other_homes = [this](GroupId /*group*/) -> asio::awaitable<std::vector<StoreReport>> {
       co_return m_other_home_reports;
     };
+    hooks.hold = MakeHoldHooks();
+    return hooks;
+  }
+
+  // The fleet has this proxy and, as far as `m_reported` says so, others.
+  HoldHooks MakeHoldHooks() {
+    HoldHooks hooks;
+    hooks.hold = [this](GroupId group, std::uint64_t token) -> asio::awaitable<HoldReport> {
+      auto& gate = m_gateway.context.acknowledgements.Of(group);
+      HoldReport report;
+      report.answered = 1;
+      report.refused = !gate.Hold(token);
+      report.passed_on = std::max(gate.hold().passed_on(), m_reported);
+      co_return report;
+    };
+    hooks.release = [this](const GroupId& group, const HoldRelease& release) {
+      m_gateway.context.acknowledgements.Of(group).Release(release);
+    };
     return hooks;
   }
 
@@ -165,6 +184,8 @@
   std::optional<TimePoint> m_store_unavailable_since;
   // What the other homes report about the store.
   std::vector<StoreReport> m_other_home_reports;
+  // What other proxies have passed on.
+  Position m_reported;
   OutageTakeover m_outage;
   Takeover m_takeover;
 };
--- /dev/null
+++ b/tests/unit/takeover_hold_test.cc
@@ -0,0 +1,203 @@
+// A takeover holds back acknowledgements, and promotes only a server whose log holds what callers
+// have been told of.
+#include <gtest/gtest.h>
+
+#include "takeover_fixture.h"
+
+namespace cardamom::testing {
+namespace {
+
+class TakeoverHoldTest : public TakeoverFixture {
+ protected:
+  AcknowledgementGate& Gate() { return m_gateway.group->acknowledgements(); }
+  bool IsHeld() { return Gate().hold().IsHeld(BootClock::now()); }
+
+  Reply Write(Millis timeout) {
+    Reply reply;
+    m_gateway.Run([&]() -> asio::awaitable<void> {
+      const auto statement = MakeWrite("w1", "a");
+      const CallerState caller;
+      const auto task = m_gateway.Task(statement, caller, Consistency::kPrimary, timeout);
+      reply = co_await m_gateway.runner.Write(m_gateway.group, task);
+    });
+    return reply;
+  }
+
+  // Ends the hold of `token` after `time`.
+  void ReleaseAfter(Millis time, HoldRelease release) {
+    Spawn(m_gateway.io, [this, time, release]() -> asio::awaitable<void> {
+      co_await Sleep(time);
+      Gate().Release(release);
+    });
+  }
+};
+
+// Guards against a lost commit (LOST on the bench): a replica that no proxy knows had received a
+// commit, and another proxy had passed the acknowledgement on.
+TEST_F(TakeoverHoldTest, LogThatLacksWhatAnotherProxyPassedOnIsNotPromoted) {
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_fake_group.server(0).unresponsive = true;
+  m_reported = {Term(1), LogIndex(2)};
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_orders.empty());
+  m_reported = {Term(1), LogIndex(1)};
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+}
+
+// Guards against a lost commit (LOST on the bench): the stopped primary had a longer log than the
+// known replicas, and its end was taken for commits that no replica holds.
+TEST_F(TakeoverHoldTest, StoppedPrimaryLeadsAgainIfOnlyItHoldsWhatWasPassedOn) {
+  m_fake_group.server(1).replication_blocked = true;
+  m_fake_group.server(2).replication_blocked = true;
+  ASSERT_FALSE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_reported = {Term(1), LogIndex(1)};
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kStalled));
+  EXPECT_TRUE(m_fake_group.server(0).is_primary);
+  EXPECT_EQ(m_fake_group.server(0).log.size(), 1U);
+}
+
+// Guards against a lost commit (LOST on the bench): a server entered the list after it had been
+// read, and this proxy's watch of the list showed it only after the order.
+TEST_F(TakeoverHoldTest, ServerThatIsListedWhileTheOthersAreStoppedIsAskedFirst) {
+  m_fake_group.server(1).replication_blocked = true;
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  List(EntriesWithout("e2"));
+  // The listed replica lacks the commit. The departure of the other is forgotten.
+  m_gateway.group = std::make_shared<GroupClient>(m_gateway.context, GroupId("orders"));
+  m_gateway.group->SetShare({.links = 2});
+  GroupSettings settings;
+  m_gateway.group->Update(EntriesWithout("e2"), settings);
+  m_gateway.Run([this]() -> asio::awaitable<void> {
+    co_await m_gateway.group->WaitForPrimary(Clock::now() + Millis(500));
+  });
+  m_fake_group.server(0).unresponsive = true;
+  m_fake_group.on_pause = [this] { m_listed.reset(); };
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_orders.empty());
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// Guards against a lost commit: an order is carried out seconds late, and what was acknowledged in
+// between is missing at the server that it promotes.
+TEST_F(TakeoverHoldTest, UnansweredOrderKeepsTheHold) {
+  m_fake_group.server(0).unresponsive = true;
+  m_lose_answer = true;
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kUnfinished);
+  EXPECT_TRUE(IsHeld());
+  m_lose_answer = false;
+  m_fake_group.server(0).unresponsive = false;
+  EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kUnfinished);
+  EXPECT_TRUE(IsHeld());
+  HandleLateOrders();
+  PassPromotionTime();
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kStalled));
+  EXPECT_FALSE(IsHeld());
+}
+
+TEST_F(TakeoverHoldTest, HoldEndsWithThePromotion) {
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_FALSE(IsHeld());
+  EXPECT_TRUE(Write(Millis(1000)).ok());
+}
+
+TEST_F(TakeoverHoldTest, HoldEndsIfNobodyIsPromoted) {
+  m_fake_group.server(0).unresponsive = true;
+  m_fake_group.server(1).unresponsive = true;
+  EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kBackedOff);
+  EXPECT_FALSE(IsHeld());
+}
+
+// Guards against commits that wait for 15 s: the holder died after it had asked for the hold.
+TEST_F(TakeoverHoldTest, HoldOfADeadHolderEndsWithTheNextAttempt) {
+  ASSERT_TRUE(Gate().Hold(7));
+  m_table.Put("fences", "orders", EncodeJson(FenceRow{7, "vm-2", true, m_table.now_ms - 5000}));
+  for (int i = 0; i < 3 && IsHeld(); ++i) {
+    Run(TakeoverReason::kStalled);
+    PassPromotionTime();
+  }
+  EXPECT_FALSE(IsHeld());
+  EXPECT_TRUE(m_fake_group.server(0).is_primary);
+  EXPECT_TRUE(m_orders.empty());
+}
+
+// As above, for the holder of a reserved token: it may have sent an order, so its token is made
+// void before the hold ends.
+TEST_F(TakeoverHoldTest, HoldOfAReservedTokenEndsOnceTheTokenIsVoid) {
+  ASSERT_TRUE(Gate().Hold(8));
+  FenceRow row;
+  row.token = 8;
+  row.reserved = TokenReservation{8, "vm-2", Term(1), {}};
+  m_table.Put("fences", "orders", EncodeJson(row));
+  for (int i = 0; i < 3 && IsHeld(); ++i) {
+    Run(TakeoverReason::kStalled);
+    PassPromotionTime();
+  }
+  EXPECT_FALSE(IsHeld());
+  EXPECT_EQ(HandleOrder("e1", 8), OrderResult::kRejected);
+}
+
+TEST_F(TakeoverHoldTest, HolderGivesUpIfAProxyHasSeenAGreaterToken) {
+  ASSERT_TRUE(Gate().Hold(1000));
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_orders.empty());
+  EXPECT_TRUE(IsHeld());
+}
+
+TEST_F(TakeoverHoldTest, WriteIsSentOnceTheHoldHasEnded) {
+  ASSERT_TRUE(Gate().Hold(7));
+  ReleaseAfter(Millis(100), {7, Term(1), std::nullopt});
+  EXPECT_TRUE(Write(Millis(1000)).ok());
+  EXPECT_EQ(m_fake_group.server(0).ran.size(), 1U);
+}
+
+TEST_F(TakeoverHoldTest, WriteThatCannotBeServedInTimeIsNotSent) {
+  ASSERT_TRUE(Gate().Hold(7));
+  const auto reply = Write(Millis(300));
+  ASSERT_FALSE(reply.ok());
+  EXPECT_EQ(reply.error->code, StatementError::kBusy);
+  EXPECT_TRUE(m_fake_group.server(0).ran.empty());
+}
+
+// Guards against a lost commit (LOST on the bench): the old primary acknowledged it through a
+// server that the takeover had not stopped, and the promoted server lacks it.
+TEST_F(TakeoverHoldTest, AcknowledgementBeyondTheChosenLogIsInDoubt) {
+  m_fake_group.server(0).statement_duration = Millis(100);
+  Spawn(m_gateway.io, [this]() -> asio::awaitable<void> {
+    co_await Sleep(Millis(50));
+    Gate().Hold(7);
+  });
+  ReleaseAfter(Millis(250), {7, Term(2), Position{Term(1), LogIndex(0)}});
+  const auto reply = Write(Millis(1000));
+  ASSERT_FALSE(reply.ok());
+  EXPECT_EQ(reply.error->code, StatementError::kInDoubt);
+  EXPECT_EQ(m_fake_group.acknowledged.size(), 1U);
+  EXPECT_EQ(Gate().hold().passed_on(), Position());
+}
+
+TEST_F(TakeoverHoldTest, AcknowledgementThatTheChosenLogHoldsIsPassedOnLate) {
+  m_fake_group.server(0).statement_duration = Millis(100);
+  Spawn(m_gateway.io, [this]() -> asio::awaitable<void> {
+    co_await Sleep(Millis(50));
+    Gate().Hold(7);
+  });
+  ReleaseAfter(Millis(250), {7, Term(2), Position{Term(1), LogIndex(1)}});
+  EXPECT_TRUE(Write(Millis(1000)).ok());
+}
+
+TEST_F(TakeoverHoldTest, AcknowledgementIsInDoubtAtTheDeadlineOfItsStatement) {
+  m_fake_group.server(0).statement_duration = Millis(100);
+  Spawn(m_gateway.io, [this]() -> asio::awaitable<void> {
+    co_await Sleep(Millis(50));
+    Gate().Hold(7);
+  });
+  const auto began = Clock::now();
+  const auto reply = Write(Millis(400));
+  ASSERT_FALSE(reply.ok());
+  EXPECT_EQ(reply.error->code, StatementError::kInDoubt);
+  EXPECT_LT(Clock::now() - began, Millis(600));
+}
+
+}  // namespace
+}  // namespace cardamom::testing
