--- a/src/gateway/statement_runner.h
+++ b/src/gateway/statement_runner.h
@@ -102,6 +102,10 @@
   asio::awaitable<StatementAttempt> RunInTransaction(const StatementTask& task,
                                                      TransactionPin& pin,
                                                      std::optional<Position> after = {});
+  // Waits until the acknowledgement of a commit may be passed on, see AcknowledgementGate::PassOn.
+  static asio::awaitable<bool> PassOn(GroupClient& group,
+                                      const StatementTask& task,
+                                      const StatementAttempt& answered);
   // Runs `batch` on the pin's link. The result holds the reply to the caller's statement, if the
   // batch has one.
   asio::awaitable<StatementAttempt> RunBatch(const StatementTask& task,
