Tests: the server that is listed during a takeover had no cover by accident

TakeoverHoldTest.ServerThatIsListedWhileTheOthersAreStoppedIsAskedFirst passed without the second reading of the list too: the proxy had sampled the commit, so the listed replica was known to lack it. The commit now follows the sample.

--- a/tests/unit/takeover_hold_test.cc
+++ b/tests/unit/takeover_hold_test.cc
@@ -59,10 +59,8 @@
 // Guards against a lost commit (LOST on the bench): a server entered the list after it had been
 // read, and this proxy's watch of the list showed it only after the order.
 TEST_F(TakeoverHoldTest, ServerThatIsListedWhileTheOthersAreStoppedIsAskedFirst) {
-  m_fake_group.server(1).replication_blocked = true;
-  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
   List(EntriesWithout("e2"));
-  // The listed replica lacks the commit. The departure of the other is forgotten.
+  // A proxy that has never seen e2.
   m_gateway.group = std::make_shared<GroupClient>(m_gateway.context, GroupId("orders"));
   m_gateway.group->SetShare({.links = 2});
   GroupSettings settings;
@@ -70,6 +68,8 @@
   m_gateway.Run([this]() -> asio::awaitable<void> {
     co_await m_gateway.group->WaitForPrimary(Clock::now() + Millis(500));
   });
+  m_fake_group.server(1).replication_blocked = true;
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
   m_fake_group.server(0).unresponsive = true;
   m_fake_group.on_pause = [this] { m_listed.reset(); };
   EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
