Takeover: no order without a second reading of the list

With a claimed token there is now no order; the wait is 400 ms instead of 250. - The hold starts once the row is marked: a takeover that loses the store before made every proxy refuse the reserved token. - A proxy that answers a release with an error is told again. - An acknowledgement without a position is in doubt while held.

The four points have no test of their own.

--- a/src/fleet/hold_peers.cc
+++ b/src/fleet/hold_peers.cc
@@ -14,6 +14,7 @@
 constexpr Millis kReleaseRetryTime{2000};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
 
 HttpRequest Post(const char* target, std::string body) {
   HttpRequest request;
@@ -85,7 +86,9 @@
     auto request = Post(kPeerReleasePath, EncodeJson(message));
     const auto answer =
         co_await m_peers.Send(vm, std::move(request), Clock::now() + kReleaseTimeout);
-    if (answer || answer.error().code == ResultCode::kConnectionRefused) {
+    // A proxy of an earlier version answers kNotFound.
+    const bool told = answer && (answer->status == kOk || answer->status == kNotFound);
+    if (told || (!answer && answer.error().code == ResultCode::kConnectionRefused)) {
       co_return;
     }
     co_await Sleep(kReleasePause);
--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -287,7 +287,8 @@
                                               const StatementTask& task,
                                               const StatementAttempt& answered) {
   if (!answered.reply.position) {
-    co_return true;
+    // Nothing could confirm it once the hold has ended.
+    co_return !group.acknowledgements().hold().IsHeld(BootClock::now());
   }
   const auto& known = answered.known_before;
   const AcknowledgedCommit commit{{known.term, LogIndex(known.index.value() + 1)},
--- a/src/gateway/successor_choice.cc
+++ b/src/gateway/successor_choice.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Longest wait for the list of servers just before an order.
-constexpr Millis kListTimeout{250};
+constexpr Millis kListTimeout{400};
 
 // Reads the server list while other requests are under way.
 class BackgroundRead {
@@ -18,24 +18,29 @@
   BackgroundRead(GatewayContext& context, RefreshServers refresh) {
     if (!refresh) {
       m_state->done = true;
+      m_state->read = true;
       return;
     }
     Spawn(context.io, [state = m_state, refresh = std::move(refresh)]() -> asio::awaitable<void> {
-      co_await refresh();
+      const bool read = co_await refresh();
+      state->read = read;
       state->done = true;
       state->changed.NotifyAll();
     });
   }
 
-  // Waits until the list has been read, but not long for a store that does not answer.
-  asio::awaitable<void> Wait() {
-    const std::function<bool()> done = [state = m_state] { return state->done; };
-    co_await m_state->changed.WaitUntil(done, m_deadline);
+  // Waits until the list has been read. Returns false if the store does not answer in time.
+  asio::awaitable<bool> Wait() {
+    const auto state = m_state;
+    const std::function<bool()> done = [state] { return state->done; };
+    co_await state->changed.WaitUntil(done, m_deadline);
+    co_return state->read;
   }
 
  private:
   struct State {
     bool done = false;
+    bool read = false;
     Notifier changed;
   };
   const std::shared_ptr<State> m_state = std::make_shared<State>();
@@ -95,7 +100,10 @@
     choice.objection = "a server did not stay stopped";
     co_return choice;
   }
-  co_await list.Wait();
+  if (!co_await list.Wait()) {
+    choice.objection = "the list of servers was not read again";
+    co_return choice;
+  }
   if (!WereAllAsked(*group, servers)) {
     choice.objection = "a server was listed after the others were stopped";
     co_return choice;
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -326,18 +326,17 @@
   }
   const Term stop_at(newest.value() + 1);
   PendingHold hold(m_context, m_hold_hooks, group->id(), claim.row.token);
-  if (AreReplicasReached(*group, statuses)) {
-    hold.Start();
-  }
   // The row is marked before the logs are read, so that the order follows them at once.
   const bool marked = co_await SetOrderOutstanding(*group, claim, true);
   if (!marked) {
     Log(EventCode::kPromotionFailed, *group, "the row was not marked", stop_at);
-    if (hold.IsStarted()) {
-      ReleaseUnchanged(*group, claim, leading);
-    }
     co_return TakeoverResult::kBackedOff;
   }
+  // Not before the row is marked: proxies that have seen the token refuse a lower, reserved one,
+  // which is needed if the store stops answering.
+  if (AreReplicasReached(*group, statuses)) {
+    hold.Start();
+  }
   const ControlRequest stop{.term = stop_at, .valid_until = claim.valid_until};
   const auto choice =
       co_await StopAndChooseSuccessor(m_context, group, statuses, stop, hold, m_refresh_servers);
