--- a/tests/process/stutter_fleet.cc
+++ b/tests/process/stutter_fleet.cc
@@ -84,7 +84,8 @@
       const auto deadline = Clock::now() + kStartTimeout;
       while (!Answers(gateway, database)) {
         if (Clock::now() > deadline) {
-          throw std::runtime_error("a gateway does not answer");
+          const char* state = AllRun() ? "all run" : "one has ended";
+          throw std::runtime_error(fmt::format("a gateway does not answer, {}", state));
         }
         std::this_thread::sleep_for(kRetryDelay);
       }
