--- a/tests/unit/takeover_platform.h
+++ b/tests/unit/takeover_platform.h
@@ -24,8 +24,6 @@
   std::optional<bool> Answer(int number) const;
   void Advance();
 
-  // Whether every promoted server held all acknowledged commits.
-  bool safe() const { return m_safe; }
   int promoted() const { return m_promoted; }
   bool has_pending_orders() const { return !m_orders.empty(); }
 
@@ -48,7 +46,6 @@
   std::map<int, bool> m_answers;
   std::uint64_t m_greatest_token = 0;
   int m_sent = 0;
-  bool m_safe = true;
   int m_promoted = 0;
 };
 
