--- a/tests/unit/takeover_model_test.cc
+++ b/tests/unit/takeover_model_test.cc
@@ -326,7 +326,7 @@
 }
 
 TEST(TakeoverModelTest, CountingAServerThatHasJustStartedAsAReplicaThatAnsweredLosesACommit) {
-  auto options = WithoutHolds(kWithLogLosses);
+  auto options = kWithLogLosses;
   options.checks_link_age = false;
   EXPECT_NE(FirstUnsafe(Rule::kNone, kWalks, options), std::nullopt);
 }
