Stutter and crowd tests: gateways listen on ports that no outgoing connection takes

The log of the one that had ended says 'listen_failed: 127.0.0.1:34327: Address already in use': the ports were taken from the range of outgoing connections, and a gateway that was started before had taken one. FreeAddresses now takes ports below that range.

--- a/tests/process/crowd_gateway.cc
+++ b/tests/process/crowd_gateway.cc
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <stdexcept>
 #include <thread>
 
@@ -21,6 +22,10 @@
 constexpr Millis kReplyTimeout{5000};
 constexpr Millis kRetryDelay{100};
 constexpr std::size_t kAddresses = 4;
+// Ports below the range from which the system takes those of outgoing connections: the connections
+// of a gateway could take the port at which the next one is to listen.
+constexpr int kFirstPort = 16'000;
+constexpr int kLastPort = 32'000;
 
 }  // namespace
 
@@ -51,12 +56,21 @@
 
 std::vector<Address> FreeAddresses(std::size_t count) {
   namespace ip = boost::asio::ip;
+  static thread_local std::mt19937 random{std::random_device{}()};
+  std::uniform_int_distribution<int> port(kFirstPort, kLastPort);
   boost::asio::io_context context;
   std::vector<ip::tcp::acceptor> acceptors;
   std::vector<Address> addresses;
-  for (std::size_t i = 0; i < count; ++i) {
-    acceptors.emplace_back(context, ip::tcp::endpoint(ip::address_v4::loopback(), 0));
-    addresses.push_back({"127.0.0.1", acceptors.back().local_endpoint().port()});
+  while (addresses.size() < count) {
+    const ip::tcp::endpoint endpoint(ip::address_v4::loopback(),
+                                     static_cast<std::uint16_t>(port(random)));
+    ip::tcp::acceptor acceptor(context, endpoint.protocol());
+    boost::system::error_code ec;
+    acceptor.bind(endpoint, ec);
+    if (!ec) {
+      acceptors.push_back(std::move(acceptor));
+      addresses.push_back({"127.0.0.1", endpoint.port()});
+    }
   }
   return addresses;
 }
