HTTP client: a connection with bytes behind a response is not used again

A second copy of a response was taken for the response to the next request on the same connection: of the store, the platform, a peer or an endpoint of the HTTP front. Send now closes such a connection before it writes anything and fails with Ran::kNo. A copy that arrives while the next response is awaited is still taken for it.

--- a/src/http/http_connection.cc
+++ b/src/http/http_connection.cc
@@ -67,6 +67,10 @@
       co_return Error{ResultCode::kTransport, "not connected", Ran::kNo};
     }
     m_usable = false;
+    if (HasUnreadInput()) {
+      Close();
+      co_return Error{ResultCode::kUnmatchedAnswer, "a response to no request", Ran::kNo};
+    }
     http::request<http::string_body> beast_request;
     beast_request.method_string(request.method);
     beast_request.target(request.target);
@@ -104,6 +108,13 @@
     co_return response;
   }
 
+  // Whether bytes have arrived behind the last response. They could be taken for the response to
+  // the next request.
+  bool HasUnreadInput() {
+    boost::system::error_code ec;
+    return m_buffer.size() > 0 || (m_stream.socket().available(ec) > 0 && !ec);
+  }
+
   void Close() {
     beast::error_code ignored;
     m_stream.socket().close(ignored);
