Takeover: where servers may be missing in the list, a log must reach the reported end

Proxies now report the end of the log that came with a commit as well. With a stable list the lower bound stays: the end runs ahead of what any replica has received, and would delay a takeover after every crash under load.

--- a/src/failover/acknowledgement_hold.cc
+++ b/src/failover/acknowledgement_hold.cc
@@ -34,6 +34,7 @@
       m_promotions.erase(m_promotions.begin());
     }
     m_passed_on = StandingPart(m_passed_on);
+    m_log_end = StandingPart(m_log_end);
   }
   return true;
 }
@@ -75,6 +76,7 @@
 
 void AcknowledgementHold::OnPassedOn(const AcknowledgedCommit& commit) {
   m_passed_on = std::max(m_passed_on, commit.at_least);
+  m_log_end = std::max(m_log_end, commit.at_most);
 }
 
 Position AcknowledgementHold::StandingPart(Position position) const {
--- a/src/failover/acknowledgement_hold.h
+++ b/src/failover/acknowledgement_hold.h
@@ -79,6 +79,9 @@
   // A log that holds every commit passed on reaches this position; 0 before the first. A promotion
   // lowers it to its base.
   Position passed_on() const { return m_passed_on; }
+  // The greatest end of a log that came with a commit passed on; 0 before the first. Every commit
+  // passed on lies at or before it, but a log that holds them all need not reach it.
+  Position log_end() const { return m_log_end; }
   // `position`, or the end of the log that later promotions left of it.
   Position StandingPart(Position position) const;
   // The greatest token seen.
@@ -99,6 +102,7 @@
   Term m_confirmed_term;
   std::vector<Promotion> m_promotions;
   Position m_passed_on;
+  Position m_log_end;
 };
 
 }  // namespace cardamom
--- a/src/fleet/hold_peers.cc
+++ b/src/fleet/hold_peers.cc
@@ -46,6 +46,7 @@
     // The proxy may have missed a promotion that lost what it has passed on.
     const auto& hold = m_context.acknowledgements.Of(GroupId(message.group)).hold();
     report.passed_on = std::max(report.passed_on, hold.StandingPart(reply->passed_on));
+    report.log_end = std::max(report.log_end, hold.StandingPart(reply->log_end));
   }
   // Where the connection is refused, no process runs that could pass anything on.
   if (reply || (!answer && answer.error().code == ResultCode::kConnectionRefused)) {
@@ -61,6 +62,7 @@
   survey->report.answered = 1;
   survey->report.refused = !gate.Hold(token);
   survey->report.passed_on = gate.hold().passed_on();
+  survey->report.log_end = gate.hold().log_end();
   if (survey->report.refused) {
     co_return survey->report;
   }
@@ -111,7 +113,8 @@
     if (message) {
       auto& gate = m_context.acknowledgements.Of(GroupId(message->group));
       const bool held = gate.Hold(message->token);
-      response.body = EncodeJson(PeerHoldReply{held, gate.hold().passed_on()});
+      response.body =
+          EncodeJson(PeerHoldReply{held, gate.hold().passed_on(), gate.hold().log_end()});
       co_return response;
     }
   } else {
--- a/src/fleet/peer_messages.h
+++ b/src/fleet/peer_messages.h
@@ -163,10 +163,11 @@
 struct PeerHoldReply {
   // False: the proxy has seen a greater token.
   bool held = false;
-  // See AcknowledgementHold::passed_on.
+  // See AcknowledgementHold.
   Position passed_on;
+  Position log_end;
 };
-BOOST_DESCRIBE_STRUCT(PeerHoldReply, (), (held, passed_on))
+BOOST_DESCRIBE_STRUCT(PeerHoldReply, (), (held, passed_on, log_end))
 
 // POST kPeerReleasePath: ends a hold, see HoldRelease. The answer is empty.
 struct PeerRelease {
--- a/src/gateway/successor_choice.cc
+++ b/src/gateway/successor_choice.cc
@@ -86,7 +86,10 @@
   hold.Start();
   const auto held = co_await hold.Wait();
   choice.logs += "; " + DescribeHold(held);
-  const auto successor = ChooseSuccessor(servers, held.passed_on);
+  // A server that is not known may hold the last commits if the list is changing, or cannot be
+  // read.
+  const bool may_miss_servers = !refresh_servers || group->SnapshotServerList().changing;
+  const auto successor = ChooseSuccessor(servers, may_miss_servers ? held.log_end : held.passed_on);
   if (held.refused) {
     choice.objection = "a proxy has seen a greater token";
     co_return choice;
--- a/src/gateway/takeover_hold.cc
+++ b/src/gateway/takeover_hold.cc
@@ -46,8 +46,9 @@
 }
 
 std::string DescribeHold(const HoldReport& report) {
-  auto text = fmt::format("passed on {}.{} by {} proxies", report.passed_on.term.value(),
-                          report.passed_on.index.value(), report.answered);
+  auto text = fmt::format("passed on {}.{} to {}.{} by {} proxies", report.passed_on.term.value(),
+                          report.passed_on.index.value(), report.log_end.term.value(),
+                          report.log_end.index.value(), report.answered);
   for (const auto& vm : report.silent) {
     text += fmt::format("{}{}", &vm == &report.silent.front() ? ", no answer of " : " ", vm);
   }
--- a/src/gateway/takeover_hold.h
+++ b/src/gateway/takeover_hold.h
@@ -18,6 +18,8 @@
   // A log that holds every commit that the proxies which answered have passed on reaches this
   // position.
   Position passed_on;
+  // Every commit that they have passed on lies at or before this position.
+  Position log_end;
   // A proxy has seen a greater token.
   bool refused = false;
   std::size_t answered = 0;
--- a/tests/unit/acknowledgement_hold_test.cc
+++ b/tests/unit/acknowledgement_hold_test.cc
@@ -101,6 +101,7 @@
   m_hold.OnPassedOn({At(1, 9), At(1, 30)});
   m_hold.OnPassedOn({At(1, 7), At(1, 31)});
   EXPECT_EQ(m_hold.passed_on(), At(1, 9));
+  EXPECT_EQ(m_hold.log_end(), At(1, 31));
 }
 
 // Guards against a group without a primary: a commit that a takeover has lost must not keep later
@@ -109,6 +110,7 @@
   m_hold.OnPassedOn({At(1, 12), At(1, 12)});
   ASSERT_TRUE(m_hold.Release({7, Term(2), At(1, 10)}));
   EXPECT_EQ(m_hold.passed_on(), At(1, 10));
+  EXPECT_EQ(m_hold.log_end(), At(1, 10));
   ASSERT_TRUE(m_hold.Release({8, Term(2), std::nullopt}));
   EXPECT_EQ(m_hold.passed_on(), At(1, 10));
 }
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -93,6 +93,7 @@
       report.answered = 1;
       report.refused = !gate.Hold(token);
       report.passed_on = std::max(gate.hold().passed_on(), m_reported);
+      report.log_end = std::max({gate.hold().log_end(), m_reported, m_reported_log_end});
       co_return report;
     };
     hooks.release = [this](const GroupId& group, const HoldRelease& release) {
@@ -186,6 +187,8 @@
   std::vector<StoreReport> m_other_home_reports;
   // What other proxies have passed on.
   Position m_reported;
+  // The greatest end of a log that came with it.
+  Position m_reported_log_end;
   OutageTakeover m_outage;
   Takeover m_takeover;
 };
--- a/tests/unit/takeover_hold_test.cc
+++ b/tests/unit/takeover_hold_test.cc
@@ -44,6 +44,30 @@
   EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
 }
 
+// Guards against a lost commit that lies beyond the lower bound of what was passed on, at a server
+// that is not listed yet.
+TEST_F(TakeoverHoldTest, WhileServersLeaveOnlyALogThatReachesTheReportedEndIsPromoted) {
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_fake_group.server(0).unresponsive = true;
+  m_reported = {Term(1), LogIndex(1)};
+  m_reported_log_end = {Term(1), LogIndex(2)};
+  auto entries = m_fake_group.Entries();
+  entries.back().leaving = true;
+  List(entries);
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(m_orders.empty());
+}
+
+// Guards against a group that stays without a primary because the lost one held commits that no
+// replica had received.
+TEST_F(TakeoverHoldTest, AnUnreplicatedTailDelaysNoTakeoverOfAGroupWithAStableList) {
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_fake_group.server(0).unresponsive = true;
+  m_reported = {Term(1), LogIndex(1)};
+  m_reported_log_end = {Term(1), LogIndex(2)};
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+}
+
 // Guards against a lost commit (LOST on the bench): the stopped primary had a longer log than the
 // known replicas, and its end was taken for commits that no replica holds.
 TEST_F(TakeoverHoldTest, StoppedPrimaryLeadsAgainIfOnlyItHoldsWhatWasPassedOn) {
