--- a/src/gateway/statement_runner.cc
+++ b/src/gateway/statement_runner.cc
@@ -126,7 +126,8 @@
     }
   }
   auto& reply = answer.replies[*batch.statement_index].reply;
-  if (answer.replies.back().reply.state != SessionState::kIdle) {
+  const bool lacks_name = !reply.ok() && reply.error->code == StatementError::kUnknownStatement;
+  if (answer.replies.back().reply.state != SessionState::kIdle || lacks_name) {
     lease->Discard();
   } else if (IsAnyAmbiguous(answer)) {
     ConfirmInBackground(m_context.io, std::move(*lease));
@@ -151,9 +152,7 @@
     group.OnReplicaBehind(endpoint, *after);
   } else if (reply.error->code == StatementError::kReadOnly && at_primary) {
     group.OnNotPrimary(endpoint);
-  } else if (reply.error->code == StatementError::kUnknownStatement) {
-    lease->Discard();
-  } else {
+  } else if (!lacks_name) {
     if (reply.error->code == StatementError::kBusy) {
       permit->OnOverload();
       attempt.busy = true;
