Sessions: COMMIT of a transaction with a statement in doubt is in doubt

A write whose BEGIN may have been refused unseen is answered in doubt. The COMMIT behind it was answered ABORTED, which promises that nothing is kept, although the write may have taken effect outside the transaction.

--- a/src/gateway/caller_session.cc
+++ b/src/gateway/caller_session.cc
@@ -38,6 +38,8 @@
   m_received_at = Clock::now();
   m_first_byte_at = BootClock::now();
   auto reply = co_await Dispatch(statement);
+  m_in_doubt = reply.state == SessionState::kFailed &&
+               (m_in_doubt || (reply.error && reply.error->code == StatementError::kInDoubt));
   m_state = reply.state;
   m_last_used = Clock::now();
   m_busy = false;
@@ -51,8 +53,11 @@
   if (m_state == SessionState::kFailed) {
     if (statement.kind == StatementKind::kCommit) {
       co_await End();
-      co_return ErrorReply(StatementError::kAborted, "the transaction failed and is rolled back",
-                           SessionState::kIdle);
+      co_return m_in_doubt
+          ? ErrorReply(StatementError::kInDoubt, "a statement may have taken effect",
+                       SessionState::kIdle)
+          : ErrorReply(StatementError::kAborted, "the transaction failed and is rolled back",
+                       SessionState::kIdle);
     }
     co_return ErrorReply(StatementError::kMalformed, "the transaction failed",
                          SessionState::kFailed);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -111,6 +111,8 @@
   bool m_busy = false;
   bool m_refusing = false;
   bool m_refusing_transaction = false;
+  // A statement of the failed transaction may have taken effect although nothing was committed.
+  bool m_in_doubt = false;
   std::optional<TimePoint> m_latest_answer;
   TimePoint m_received_at;
   BootTime m_first_byte_at;
