Links: the copy of a greeting on an idle link is dropped at once

It was counted and then waited 20 ms for a reply that never came; the link was closed, an open transaction on it aborted, and a probe took it for a failure of the primary.

--- a/tests/unit/line_link_test.cc
+++ b/tests/unit/line_link_test.cc
@@ -171,6 +171,16 @@
   });
 }
 
+TEST_F(LineLinkTest, ACopyOfTheGreetingOnAnIdleLinkLeavesTheLinkOpen) {
+  Run([this]() -> asio::awaitable<void> {
+    co_await m_server.Send("READY I 1.5\r\n");
+    m_server.Answer(Signed("s1"));
+    const auto first = co_await Send(kWrite);
+    ExpectSigned(first, "s1");
+    EXPECT_TRUE(m_link->IsOpen());
+  });
+}
+
 TEST_F(LineLinkTest, ACopyBesideTheNextStatementAnswersNothing) {
   Run([this]() -> asio::awaitable<void> {
     m_server.Answer(Signed("s1"));
