Links of a server that repeats replies begin one transaction only

The reply to a second BEGIN on a link cannot be told from a copy of the first one's. For 30 s after a server sent a reply that belongs to no request, links on which a BEGIN was answered are closed instead of being used again. Nothing changes for servers that answer once.

--- a/src/pool/link_pool.cc
+++ b/src/pool/link_pool.cc
@@ -15,6 +15,8 @@
 // it has not yet learned of that. The open is tried again once after the pause.
 constexpr Millis kReplaceSettles{200};
 constexpr Millis kRetryPause{20};
+// A server that sent an unmatched answer is expected to send more for this long.
+constexpr Millis kUnmatchedAnswersExpected{30'000};
 
 }  // namespace
 
@@ -102,7 +104,7 @@
     }
     auto link = std::move(*best);
     m_idle.erase(std::prev(best.base()));
-    if (link->link->IsReusable()) {
+    if (link->link->IsReusable() && !IsSpent(*link)) {
       return link;
     }
     link->link->Close();
@@ -110,6 +112,21 @@
   }
 }
 
+void LinkPool::SetOnUnmatchedAnswer(EndpointLink::UnmatchedAnswerHook hook) {
+  m_on_unmatched_answer = [pool = weak_from_this(), hook = std::move(hook)](const char* reason) {
+    if (const auto self = pool.lock()) {
+      self->m_unmatched_answer_at = Clock::now();
+    }
+    hook(reason);
+  };
+}
+
+bool LinkPool::IsSpent(const PooledLink& link) const {
+  return m_unmatched_answer_at &&
+         Clock::now() - *m_unmatched_answer_at < kUnmatchedAnswersExpected &&
+         link.link->MayRepeatBegin();
+}
+
 std::unique_ptr<PooledLink> LinkPool::TakeOwnIdle(const OrganisationName& organisation,
                                                   const SessionValues& values) {
   return TakeIdle([&](const PooledLink& link) { return link.organisation == organisation; },
@@ -370,7 +387,8 @@
   if (link->use == LinkUse::kStatement) {
     link->last_used = Clock::now();
   }
-  if (!link->link->IsOpen() || m_retired || (m_open_links > m_max_links && m_waiters.empty())) {
+  if (!link->link->IsOpen() || m_retired || IsSpent(*link) ||
+      (m_open_links > m_max_links && m_waiters.empty())) {
     link->link->Close();
     RecordClosed(*link);
     OnLinkClosed();
--- a/src/pool/link_pool.h
+++ b/src/pool/link_pool.h
@@ -110,10 +110,10 @@
   // Counts in `counters` from now on; several pools may share them.
   void CountIn(std::shared_ptr<LinkCounters> counters) { m_counters = std::move(counters); }
 
-  // `hook` is set on links that are opened from now on; see EndpointLink.
-  void SetOnUnmatchedAnswer(EndpointLink::UnmatchedAnswerHook hook) {
-    m_on_unmatched_answer = std::move(hook);
-  }
+  // `hook` is called for every link that is opened from now on; see EndpointLink. A server that
+  // sent an unmatched answer may send more for a while: until then, links on which the reply to a
+  // BEGIN might be a copy are closed instead of being used again.
+  void SetOnUnmatchedAnswer(EndpointLink::UnmatchedAnswerHook hook);
 
   // Links in use, idle or being opened.
   std::size_t open_links() const { return m_open_links; }
@@ -177,6 +177,8 @@
   void Give(Waiter& waiter, std::unique_ptr<PooledLink> link, LinkUse use);
   void LetOpen(Waiter& waiter);
   void Return(std::unique_ptr<PooledLink> link);
+  // Whether `link` must not be used for another statement.
+  bool IsSpent(const PooledLink& link) const;
   // Records that a link, which is not in use, has been closed.
   void RecordClosed(const PooledLink& link);
   // Lets a waiter open a link in place of one that was closed.
@@ -199,6 +201,8 @@
   std::vector<std::unique_ptr<PooledLink>> m_idle;
   std::list<WaiterPtr> m_waiters;
   EndpointLink::UnmatchedAnswerHook m_on_unmatched_answer;
+  // When the server last sent an unmatched answer.
+  std::optional<TimePoint> m_unmatched_answer_at;
   std::shared_ptr<LinkCounters> m_counters = std::make_shared<LinkCounters>();
 };
 
--- a/src/statement/endpoint_link.h
+++ b/src/statement/endpoint_link.h
@@ -109,6 +109,9 @@
   // Closes the link at once; the server rolls back a transaction that is open on it.
   virtual void Close() = 0;
 
+  // Whether the link has read a reply that the reply to a BEGIN cannot be told from.
+  virtual bool MayRepeatBegin() const { return false; }
+
   // Called with one of a fixed set of reasons when the server sends an answer that belongs to no
   // request. The hook must not use the link.
   using UnmatchedAnswerHook = std::function<void(const char* reason)>;
--- a/src/statement/reply_matcher.h
+++ b/src/statement/reply_matcher.h
@@ -39,6 +39,9 @@
   // that a copy stood in for. If not, the link must be closed.
   bool IsHarmlessSurplus(const Reply& reply) const;
 
+  // Whether the reply to a BEGIN cannot be told from the copy of an earlier reply.
+  bool MayRepeatBegin() const { return HasOwnState(SessionState::kInTransaction); }
+
   // The session's state after the replies recorded so far.
   SessionState state() const { return m_state; }
 
