--- a/tests/unit/takeover_hold_test.cc
+++ b/tests/unit/takeover_hold_test.cc
@@ -23,6 +23,16 @@
     return reply;
   }
 
+  // Waits until the list of servers has been known for long enough to be complete.
+  void SettleList() {
+    m_gateway.Run([this]() -> asio::awaitable<void> {
+      while (!m_gateway.group->IsListSettled()) {
+        co_await Sleep(Millis(50));
+      }
+    });
+    ASSERT_TRUE(m_gateway.group->IsListSettled());
+  }
+
   // Ends the hold of `token` after `time`.
   void ReleaseAfter(Millis time, HoldRelease release) {
     Spawn(m_gateway.io, [this, time, release]() -> asio::awaitable<void> {
@@ -47,6 +57,7 @@
 // Guards against a lost commit that lies beyond the lower bound of what was passed on, at a server
 // that is not listed yet.
 TEST_F(TakeoverHoldTest, WhileServersLeaveOnlyALogThatReachesTheReportedEndIsPromoted) {
+  SettleList();
   ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
   m_fake_group.server(0).unresponsive = true;
   m_reported = {Term(1), LogIndex(1)};
@@ -61,6 +72,7 @@
 // Guards against a group that stays without a primary because the lost one held commits that no
 // replica had received.
 TEST_F(TakeoverHoldTest, AnUnreplicatedTailDelaysNoTakeoverOfAGroupWithAStableList) {
+  SettleList();
   ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
   m_fake_group.server(0).unresponsive = true;
   m_reported = {Term(1), LogIndex(1)};
