--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 directory=$(mktemp -d) || exit 2
 trap 'rm -rf "$directory"' EXIT
-target/review-3/world large target/cardamomd "$directory" review/12/record.txt
+target/review-3/world recover target/cardamomd "$directory" review/12/record.txt
