--- a/review/third/database.h
+++ b/review/third/database.h
@@ -87,7 +87,8 @@
   }
 
   // Rows of the item "big", and their size.
-  void SetBig(std::size_t rows, std::size_t row_bytes) {
+  void SetBig(std::size_t rows, std::size_t row_bytes, milliseconds per_50_kb = milliseconds(0)) {
+    m_per_50_kb = per_50_kb;
     m_big_rows = rows;
     m_big_row = std::string(row_bytes, 'x');
   }
@@ -382,9 +383,20 @@
     if (item != "big") {
       return SendAll(fd, "DATAROW value\r\n");
     }
+    constexpr std::size_t kChunk = 50'000;
+    std::size_t unpaced = 0;
     for (std::size_t i = 0; i < m_big_rows; ++i) {
-      if (!SendAll(fd, "DATAROW " + m_big_row + "\r\n")) {
-        return false;
+      const auto row = "DATAROW " + m_big_row + "\r\n";
+      for (std::size_t sent = 0; sent < row.size(); sent += kChunk) {
+        const auto chunk = std::string_view(row).substr(sent, kChunk);
+        if (!SendAll(fd, chunk)) {
+          return false;
+        }
+        unpaced += chunk.size();
+        if (unpaced >= kChunk) {
+          unpaced -= kChunk;
+          SleepFor(m_per_50_kb);
+        }
       }
     }
     return true;
@@ -425,6 +437,7 @@
   std::string m_cut_server;
   std::size_t m_big_rows = 1;
   std::string m_big_row = "x";
+  milliseconds m_per_50_kb{0};
 };
 
 }  // namespace review
--- a/review/third/world.cc
+++ b/review/third/world.cc
@@ -190,9 +190,13 @@
 }
 
 // A consumer that reads a large result, one at a time, at one machine.
-void ReadLarge(const Machine& machine, Tally& tally, const std::atomic<bool>& end) {
+void ReadLarge(const Machine& machine,
+               const std::string& host,
+               milliseconds retry_pause,
+               Tally& tally,
+               const std::atomic<bool>& end) {
   while (!end) {
-    Session session(machine.sessions_port(), "huvo11a", milliseconds(6000));
+    Session session(machine.sessions_port(), host, milliseconds(6000));
     const auto id = NewId();
     StatementResult result;
     result.error = "no session";
@@ -204,7 +208,7 @@
          << " bytes of rows, " << Describe(result);
     g_record.Add(line.str());
     tally.Add(IsServed(result));
-    SleepFor(milliseconds(300));
+    SleepFor(IsServed(result) ? milliseconds(300) : retry_pause);
   }
 }
 
@@ -226,7 +230,8 @@
   std::atomic<bool> end = false;
   std::vector<std::thread> consumers;
   for (const auto i : {0, 1}) {
-    consumers.emplace_back([&, i] { ReadLarge(*all.machines[i], tally, end); });
+    consumers.emplace_back(
+        [&, i] { ReadLarge(*all.machines[i], kServices[0].host, milliseconds(300), tally, end); });
   }
   MemoryWatch watch(all);
   SleepFor(kPause);
@@ -335,6 +340,43 @@
   return JudgeMemory(all, watch, tally);
 }
 
+// Consumers that read results of 1 MB at a time, in one row or in a hundred.
+int RunRows(const std::string& program, const std::string& directory, bool trouble) {
+  constexpr std::size_t kConsumersPerMachine = 140;
+  constexpr std::size_t kResultBytes = 1'000'000;
+  constexpr milliseconds kPer50Kb{95};
+  constexpr milliseconds kLength{75'000};
+  static Deployment all;
+  if (!StartDeployment(all, 2, "bounded_staleness", 6000, program, directory, kServices.size())) {
+    StopAll(all);
+    return kCouldNotRun;
+  }
+  const std::size_t rows = trouble ? 1 : 100;
+  all.database->SetBig(rows, kResultBytes / rows, kPer50Kb);
+  for (const auto& database : all.more_databases) {
+    database->SetBig(rows, kResultBytes / rows, kPer50Kb);
+  }
+  Tally tally;
+  std::atomic<bool> end = false;
+  std::vector<std::thread> consumers;
+  for (std::size_t i = 0; i < all.machines.size() * kConsumersPerMachine; ++i) {
+    consumers.emplace_back([&, i] {
+      ReadLarge(*all.machines[i % all.machines.size()],
+                kServices[i / all.machines.size() % kServices.size()].host, milliseconds(2500),
+                tally, end);
+    });
+  }
+  MemoryWatch watch(all);
+  SleepFor(kLength);
+  end = true;
+  for (auto& consumer : consumers) {
+    consumer.join();
+  }
+  watch.Stop();
+  StopAll(all);
+  return JudgeMemory(all, watch, tally);
+}
+
 }  // namespace
 }  // namespace review
 
@@ -354,6 +396,8 @@
     result = RunRecover(argv[2], argv[3], trouble);
   } else if (name == "large") {
     result = RunLarge(argv[2], argv[3], trouble);
+  } else if (name == "rows") {
+    result = RunRows(argv[2], argv[3], trouble);
   } else if (name == "shapes") {
     result = RunShapes(argv[2], argv[3], trouble);
   }
