--- a/review/third/database.h
+++ b/review/third/database.h
@@ -322,6 +322,9 @@
              "\r\n";
     };
     const auto refuse = [&](const std::string& code) {
+      if (!is_own) {
+        g_record.Add("server " + id + " refuses " + request + " " + verb + ": " + code);
+      }
       session.state = session.state == 'I' ? 'I' : 'E';
       return SendAll(fd, "ERROR " + code + " -\r\n" + ready());
     };
@@ -349,6 +352,9 @@
     if (needs_lead && !leads) {
       return refuse("READONLY");
     }
+    if (!is_own) {
+      g_record.Add("server " + id + " runs " + request + " " + verb);
+    }
     std::string rows;
     if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" || verb == "STEPDOWN") {
       rows = Control(server, verb, argument);
--- a/review/third/world.cc
+++ b/review/third/world.cc
@@ -259,7 +259,9 @@
   StatementResult result;
   const auto run = [&](const std::string& text) {
     if (session.is_open() && result.error.empty()) {
-      result = session.Run(NewId(), text);
+      const auto id = NewId();
+      result = session.Run(id, text);
+      g_record.Add(id + " " + text.substr(0, 24) + ": " + Describe(result));
     }
   };
   for (std::size_t i = 0; i < shapes.size(); ++i) {
