Takeovers: servers that left are recorded in the group's row

Cause: the row named the servers of the last reservation, which is not renewed while a server that left without notice is remembered (30 s). A process that starts then takes every server of the old reservation that is gone for a lost primary. With a second lost server no successor is safe, and nothing takes the first one out again: that needs a position of a primary. The log of the case shows it: 'no safe successor: ... i-31b174c273(primary)=0.0(not stopped) i-aace57a97e(primary)=0.0(not stopped)', where the first one had been replaced 13 s before the restart.

Change: the row has a roster: the servers that may hold acknowledged commits, listed or not, and a position that covers all others. The group's first home records it (RosterKeeper) when a server comes or goes. A departed server leaves the roster by the rule by which a takeover ignores it, and only if a replica holds the covering position, so that a later process needs no memory. Takeovers expect the roster's servers and promote no log that ends before the covering position. A process that has just started adds the servers of the row that it has not seen; a row of an earlier era counts until the new one has a roster. A reservation is not tried while the list is changing, where it was refused after a read of the store.

Why it is safe: a server that is not accounted for still counts as lost, and at most one may be. Nothing is taken out for being gone.

--- a/include/cardamom/event_code.h
+++ b/include/cardamom/event_code.h
@@ -45,6 +45,7 @@
   kTokenAnnounced = 313,
   kAcknowledgementsHeld = 314,
   kAcknowledgementsReleased = 315,
+  kRosterRecorded = 316,
   // 4xx: requests.
   kWriteWaited = 400,
   kOutcomeUnknown = 401,
--- a/src/events/event_code.cc
+++ b/src/events/event_code.cc
@@ -74,6 +74,8 @@
                   "Acknowledgements of commits are held back until a takeover has ended."},
     EventCodeInfo{EventCode::kAcknowledgementsReleased, "acknowledgements_released", "info",
                   "A takeover has ended; acknowledgements that were held back are judged."},
+    EventCodeInfo{EventCode::kRosterRecorded, "roster_recorded", "info",
+                  "The servers that a takeover has to compare were written to the group's row."},
     EventCodeInfo{EventCode::kWriteWaited, "write_waited", "debug",
                   "A write waited for a change of primary."},
     EventCodeInfo{EventCode::kOutcomeUnknown, "outcome_unknown", "warn",
--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -22,6 +22,20 @@
 };
 BOOST_DESCRIBE_STRUCT(ServerIncarnation, (), (endpoint, started_ms))
 
+// The servers of a group that have to be compared before one of them is promoted. Processes that
+// start later have no other evidence of those that have left.
+struct GroupRoster {
+  // Servers that may hold acknowledged commits after `covered_by`: those that are listed, and those
+  // that disappeared from the list a short time ago.
+  std::vector<ServerIncarnation> servers;
+  // Every other server that the group has had acknowledged no commit after this position. Not set
+  // if none has left.
+  std::optional<Position> covered_by;
+
+  bool operator==(const GroupRoster&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(GroupRoster, (), (servers, covered_by))
+
 // A token allocated in advance, for use while the store is unavailable.
 struct TokenReservation {
   std::uint64_t token = 0;
@@ -56,10 +70,18 @@
   std::int64_t settled_at_ms = 0;
   // Greatest token of a reservation that was replaced although its holder may have used it.
   std::uint64_t replaced = 0;
+  // Not set in a row that was last written by a version without it, or before the first roster.
+  std::optional<GroupRoster> roster;
 };
-BOOST_DESCRIBE_STRUCT(FenceRow,
-                      (),
-                      (token, holder, open, at_ms, reserved, void_below, settled_at_ms, replaced))
+BOOST_DESCRIBE_STRUCT(
+    FenceRow,
+    (),
+    (token, holder, open, at_ms, reserved, void_below, settled_at_ms, replaced, roster))
+
+// The latest roster that the rows of a group hold, which are given from the latest era on. The
+// servers of a reservation of a later era are added to it, and stand for it if there is none.
+// Returns nothing if the rows name no servers. Pure and thread safe.
+std::optional<GroupRoster> FindLatestRoster(const std::vector<FenceRow>& rows);
 
 // Tokens of one era of the store: those of a later era are greater, although the rows that
 // allocated the earlier ones may be lost.
--- a/src/gateway/fence_store.cc
+++ b/src/gateway/fence_store.cc
@@ -1,6 +1,8 @@
 #include "gateway/fence_store.h"
 
+#include <map>
 #include <utility>
+#include <vector>
 
 namespace cardamom {
 namespace {
@@ -18,14 +20,26 @@
   loaded.era = rows->position.era;
   loaded.now_ms = rows->now_ms;
   loaded.row = InitialFenceRow(loaded.era);
-  const auto key = FenceRowKey(group, loaded.era);
+  std::map<std::string, const TableRow*> by_key;
   for (const auto& row : rows->rows) {
-    if (row.key == key) {
-      const auto decoded = DecodeJson<FenceRow>(row.value);
-      loaded.row = decoded ? *decoded : loaded.row;
-      loaded.version = row.version;
+    by_key[row.key] = &row;
+  }
+  if (const auto it = by_key.find(FenceRowKey(group, loaded.era)); it != by_key.end()) {
+    const auto decoded = DecodeJson<FenceRow>(it->second->value);
+    loaded.row = decoded ? *decoded : loaded.row;
+    loaded.version = it->second->version;
+  }
+  std::vector<FenceRow> latest_first{loaded.row};
+  for (auto era = loaded.era.value(); !loaded.row.roster && era > 0; --era) {
+    const auto it = by_key.find(FenceRowKey(group, StoreEra(era - 1)));
+    if (it == by_key.end()) {
+      continue;
+    }
+    if (const auto earlier = DecodeJson<FenceRow>(it->second->value)) {
+      latest_first.push_back(*earlier);
     }
   }
+  loaded.roster = FindLatestRoster(latest_first);
   co_return loaded;
 }
 
--- a/src/gateway/fence_store.h
+++ b/src/gateway/fence_store.h
@@ -1,6 +1,7 @@
 // Reads and writes the rows of the store that allocate fencing tokens.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "directory/table_port.h"
@@ -16,6 +17,8 @@
   StoreVersion version;
   // The store's clock when the row was read.
   std::int64_t now_ms = 0;
+  // What FindLatestRoster finds in this row and those of earlier eras.
+  std::optional<GroupRoster> roster;
 
   // Whether takeovers of an earlier era may have left no trace in `row`.
   bool IsHistoryLost() const { return version == StoreVersion() && era > StoreEra(); }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -81,7 +81,8 @@
           [this] { m_directory.RecordStoreFailure(); },
           MakeHoldHooks(),
           m_outage_takeover),
-      m_coordinator(m_context, m_directory, m_takeover, m_outage_takeover) {
+      m_rosters(m_context, ports.table, MakeRosterHooks()),
+      m_coordinator(m_context, m_directory, m_takeover, m_outage_takeover, m_rosters) {
   m_homes.set_on_silence(
       [this](const std::string& vm, bool silent) { m_fleet.SetSilent(vm, silent); });
 }
@@ -107,6 +108,16 @@
   return hooks;
 }
 
+RosterHooks Gateway::MakeRosterHooks() {
+  RosterHooks hooks;
+  hooks.is_owner = [this](const GroupId& group) {
+    return m_fleet.IsFirstHome(group, MaxConnections(group));
+  };
+  hooks.is_store_available = [this] { return !m_directory.StoreUnavailableSince(); };
+  hooks.store_era = [this] { return m_directory.store_era(); };
+  return hooks;
+}
+
 HoldHooks Gateway::MakeHoldHooks() {
   HoldHooks hooks;
   hooks.hold = [this](GroupId group, std::uint64_t token) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "fleet/quota_client.h"
 #include "fleet/relayed_table.h"
 #include "gateway/directory.h"
+#include "gateway/roster_keeper.h"
 #include "gateway/session_registry.h"
 #include "gateway/takeover.h"
 #include "gateway/takeover_coordinator.h"
@@ -78,6 +79,7 @@
   std::shared_ptr<StatementPath> FindUnmeteredPath(const Route& route);
   QuotaService::Hooks MakeQuotaHooks();
   OutageHooks MakeOutageHooks();
+  RosterHooks MakeRosterHooks();
   HoldHooks MakeHoldHooks();
   LinkStates CountLinks() const;
   std::size_t MaxConnections(const GroupId& group) const;
@@ -101,6 +103,7 @@
   SessionRegistry m_sessions;
   OutageTakeover m_outage_takeover;
   Takeover m_takeover;
+  RosterKeeper m_rosters;
   TakeoverCoordinator m_coordinator;
   bool m_stopping = false;
   bool m_asked_peers = false;
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -1,6 +1,7 @@
 // This proxy's view of a database group: its servers, the links to them and the primary.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -168,12 +169,14 @@
   // The departed servers as of the last Update, except those that departed more than 30 s ago and
   // are covered by DepartedPosition().
   std::vector<DepartedServer> Departed() const;
-  // Records which servers the group had when a token was reserved. One that this proxy has never
-  // seen listed counts as departed since the list was first read.
-  void ExpectServers(const std::vector<ServerIncarnation>& servers);
+  // Records what another process knew of the group's servers. One that this proxy has never seen
+  // listed counts as departed since the list was first read.
+  void ExpectServers(const GroupRoster& roster);
   // Servers that departed earlier than those in Departed() acknowledged no commit after this
   // position; nothing if there are none.
-  const std::optional<Position>& DepartedPosition() const { return m_departed_position; }
+  std::optional<Position> DepartedPosition() const {
+    return std::max(m_departed_position, m_expected_position);
+  }
   // Whether `endpoint` is the process that last answered as the primary or, if none has yet, that
   // the list shows as the primary.
   bool IsLatestPrimary(const EndpointPtr& endpoint) const;
@@ -241,6 +244,8 @@
   std::map<EndpointId, EndpointPtr> m_endpoints;
   std::vector<DepartedServer> m_departed;
   std::optional<Position> m_departed_position;
+  // As above, from rosters of other processes.
+  std::optional<Position> m_expected_position;
   // Every process that was listed or expected, which is in `m_endpoints` or has departed.
   std::set<std::pair<EndpointId, std::int64_t>> m_known_processes;
   std::optional<TimePoint> m_first_listed;
--- a/src/gateway/group_client_departed.cc
+++ b/src/gateway/group_client_departed.cc
@@ -62,8 +62,9 @@
   return true;
 }
 
-void GroupClient::ExpectServers(const std::vector<ServerIncarnation>& servers) {
-  for (const auto& server : servers) {
+void GroupClient::ExpectServers(const GroupRoster& roster) {
+  m_expected_position = std::max(m_expected_position, roster.covered_by);
+  for (const auto& server : roster.servers) {
     if (!m_first_listed || !m_known_processes.emplace(server.endpoint, server.started_ms).second) {
       continue;
     }
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -97,7 +97,7 @@
     std::shared_ptr<GroupClient> group) {
   const auto primary = group->primary();
   const auto snapshot = group->SnapshotServerList();
-  if (!primary) {
+  if (!primary || snapshot.changing) {
     co_return std::nullopt;
   }
   // The primary is asked for its term, since that of its last log entry may be older.
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -88,21 +88,8 @@
       m_servers.push_back(server);
       return;
     }
-    const auto failure = paused.failures.find(server.endpoint);
-    const bool process_gone =
-        departed.restarted || (failure != paused.failures.end() &&
-                               (failure->second.code == ResultCode::kBadAnswer ||
-                                failure->second.code == ResultCode::kConnectionRefused));
     server.was_primary = departed.was_primary;
-    // A server that answers, though it is not stopped, may still acknowledge commits.
-    const bool alive = answers.statuses.contains(server.endpoint) ||
-                       (failure != paused.failures.end() &&
-                        (failure->second.code == ResultCode::kOverloaded ||
-                         failure->second.code == ResultCode::kUnmatchedAnswer));
-    if (!alive) {
-      server.covered_by =
-          process_gone ? departed.position_after_exit : departed.position_after_no_answer;
-    }
+    server.covered_by = PositionCovering(departed, paused);
     m_servers.push_back(server);
   }
 
@@ -205,6 +192,24 @@
   co_return gathered->answers;
 }
 
+std::optional<Position> PositionCovering(const DepartedServer& departed,
+                                         const ServerAnswers& asked) {
+  const auto& id = departed.endpoint->entry.id;
+  const auto failure = asked.failures.find(id);
+  const auto failed_with = [&](ResultCode code) {
+    return failure != asked.failures.end() && failure->second.code == code;
+  };
+  const bool answered = !departed.restarted && asked.statuses.contains(id);
+  if (answered || failed_with(ResultCode::kOverloaded) ||
+      failed_with(ResultCode::kUnmatchedAnswer)) {
+    // The server is alive and may still acknowledge commits.
+    return std::nullopt;
+  }
+  const bool process_gone = departed.restarted || failed_with(ResultCode::kBadAnswer) ||
+                            failed_with(ResultCode::kConnectionRefused);
+  return process_gone ? departed.position_after_exit : departed.position_after_no_answer;
+}
+
 asio::awaitable<std::vector<StopResult>> StopServers(GatewayContext& context,
                                                      std::shared_ptr<GroupClient> group,
                                                      ServerStatuses statuses,
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -31,6 +31,12 @@
                                              std::vector<GroupClient::EndpointPtr> targets,
                                              ControlRequest request);
 
+// The position that covers all commits that a departed server acknowledged: nothing if it may still
+// acknowledge some, or no primary has been asked since. `asked` holds its answer to a request just
+// now. Not thread safe.
+std::optional<Position> PositionCovering(const DepartedServer& departed,
+                                         const ServerAnswers& asked);
+
 // Pauses the replicas of a group at `stop.term`, makes the primaries step down, and returns how far
 // their logs reach. Departed servers that have not restarted are paused as well; the result has an
 // entry for every departed server. If a server may have restarted before it answered, the result
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -104,6 +104,7 @@
   }
   Claim claim;
   claim.row = loaded->row;
+  claim.roster = loaded->roster;
   claim.outstanding = FindOutstandingOrder(claim.row, loaded->IsHistoryLost(),
                                            OwnUnusedReservation(group, claim.row));
   ++claim.row.token;
@@ -155,6 +156,7 @@
   }
   claim.row = change(claim.row, loaded->now_ms);
   claim.row.at_ms = loaded->now_ms;
+  claim.row.roster = loaded->row.roster;
   const auto written =
       co_await m_fences.Replace(group.id(), *loaded, claim.row, Clock::now() + kStoreTimeout);
   co_return written.has_value() && *written;
@@ -222,8 +224,8 @@
   if (!refreshed || group->IsListReturning()) {
     co_return TakeoverResult::kBackedOff;
   }
-  if (claim->row.reserved) {
-    group->ExpectServers(claim->row.reserved->servers);
+  if (claim->roster) {
+    group->ExpectServers(*claim->roster);
   }
   co_return co_await Replace(group, reason, *claim);
 }
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -52,6 +52,7 @@
  private:
   struct Claim {
     FenceRow row;
+    std::optional<GroupRoster> roster;
     OutstandingOrder outstanding = OutstandingOrder::kNone;
     // The platform has seen the token.
     bool announced = false;
--- a/src/gateway/takeover_coordinator.cc
+++ b/src/gateway/takeover_coordinator.cc
@@ -80,8 +80,13 @@
 TakeoverCoordinator::TakeoverCoordinator(GatewayContext& context,
                                          const Directory& directory,
                                          Takeover& takeover,
-                                         OutageTakeover& outage)
-    : m_context(context), m_directory(directory), m_takeover(takeover), m_outage(outage) {}
+                                         OutageTakeover& outage,
+                                         RosterKeeper& rosters)
+    : m_context(context),
+      m_directory(directory),
+      m_takeover(takeover),
+      m_outage(outage),
+      m_rosters(rosters) {}
 
 void TakeoverCoordinator::Start() {
   Spawn(m_context.io, [this]() -> asio::awaitable<void> { co_await Watch(); });
@@ -102,7 +107,10 @@
     last_tick = now;
     for (const auto& [id, group] : m_directory.groups()) {
       StartTakeoverIfDue(group);
-      m_outage.MaintainReservation(group);
+      // Both replace the group's row, so that one would void the other's write.
+      if (!m_rosters.Maintain(group)) {
+        m_outage.MaintainReservation(group);
+      }
     }
     co_await Sleep(kTick);
   }
--- a/src/gateway/takeover_coordinator.h
+++ b/src/gateway/takeover_coordinator.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "gateway/directory.h"
+#include "gateway/roster_keeper.h"
 #include "gateway/takeover.h"
 
 namespace cardamom {
@@ -54,14 +55,15 @@
 Millis PauseAfter(TakeoverResult result, int back_offs);
 
 // Starts a takeover of a group when one is due, at most one per group at a time, and maintains the
-// reserved tokens. The referenced objects must outlive it. Not thread safe: all use is on the
-// thread of the context.
+// reserved tokens and the rosters. The referenced objects must outlive it. Not thread safe: all use
+// is on the thread of the context.
 class TakeoverCoordinator {
  public:
   TakeoverCoordinator(GatewayContext& context,
                       const Directory& directory,
                       Takeover& takeover,
-                      OutageTakeover& outage);
+                      OutageTakeover& outage,
+                      RosterKeeper& rosters);
 
   // Starts to check all groups periodically. The coordinator must outlive the run of the context.
   void Start();
@@ -88,6 +90,7 @@
   const Directory& m_directory;
   Takeover& m_takeover;
   OutageTakeover& m_outage;
+  RosterKeeper& m_rosters;
   std::map<GroupId, State> m_states;
   bool m_stopped = false;
 };
--- a/tests/unit/departed_server_test.cc
+++ b/tests/unit/departed_server_test.cc
@@ -43,14 +43,6 @@
     m_table.Put("fences", "orders", EncodeJson(row));
   }
 
-  // Replaces the proxy by one that has only ever seen `entries` listed.
-  void StartProxy(std::vector<EndpointEntry> entries) {
-    m_listed = std::move(entries);
-    m_gateway.group = std::make_shared<GroupClient>(m_gateway.context, GroupId("orders"));
-    m_gateway.group->SetShare({.links = 2});
-    List(*m_listed);
-  }
-
   void StartProxyThatDoesNotKnowTheFirstReplica() {
     Reserve();
     StartProxy(EntriesWithout("e1"));
@@ -294,14 +286,7 @@
   m_fake_group.Exit(m_fake_group.server(0));
   Reserve();
   StartProxy(EntriesWithout("e0"));
-  const auto started_at = Clock::now();
-  bool has_primary = false;
-  // The replicas count once the list would show that they restarted.
-  while (!has_primary && Clock::now() - started_at < Millis(9000)) {
-    Wait(Millis(200));
-    has_primary = EndsWithPrimary(TakeoverReason::kFailed);
-  }
-  EXPECT_TRUE(has_primary);
+  EXPECT_TRUE(EndsWithPrimaryAfterRestart());
   EXPECT_TRUE(WasNothingLost());
 }
 
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/roster_keeper.h"
 #include "gateway/takeover.h"
 #include "gateway_fakes.h"
 
@@ -28,6 +29,7 @@
             [this] { ++m_store_failures; },
             MakeHoldHooks(),
             m_outage) {
+    m_rosters.emplace(m_gateway.context, m_table.Port(), MakeRosterHooks());
     m_gateway.Run([this]() -> asio::awaitable<void> {
       co_await m_gateway.group->WaitForPrimary(Clock::now() + Millis(500));
     });
@@ -102,6 +104,51 @@
     return hooks;
   }
 
+  RosterHooks MakeRosterHooks() {
+    RosterHooks hooks;
+    hooks.is_owner = [](const GroupId& /*group*/) { return true; };
+    hooks.is_store_available = [this] { return !m_table.unavailable; };
+    hooks.store_era = [this] { return m_table.era; };
+    return hooks;
+  }
+
+  // Keeps the group's row up to date for `time`, as the proxy does that is in charge of it.
+  void MaintainRow(Millis time) {
+    m_gateway.Run([this, time]() -> asio::awaitable<void> {
+      const auto until = Clock::now() + time;
+      while (Clock::now() < until) {
+        if (!m_rosters->Maintain(m_gateway.group)) {
+          m_outage.MaintainReservation(m_gateway.group);
+        }
+        co_await Sleep(Millis(25));
+      }
+      while (m_rosters->Maintain(m_gateway.group)) {
+        co_await Sleep(Millis(25));
+      }
+    });
+  }
+
+  // Replaces the proxy by one that has only ever seen `entries` listed.
+  void StartProxy(std::vector<EndpointEntry> entries) {
+    m_listed = std::move(entries);
+    m_gateway.group = std::make_shared<GroupClient>(m_gateway.context, GroupId("orders"));
+    m_gateway.group->SetShare({.links = 2});
+    m_rosters.emplace(m_gateway.context, m_table.Port(), MakeRosterHooks());
+    List(*m_listed);
+  }
+
+  // Makes attempts until one ends with a primary, for as long as a process that has just started
+  // may take to trust the links to its servers.
+  bool EndsWithPrimaryAfterRestart() {
+    const auto started_at = Clock::now();
+    bool has_primary = false;
+    while (!has_primary && Clock::now() - started_at < Millis(9000)) {
+      Wait(Millis(200));
+      has_primary = EndsWithPrimary(TakeoverReason::kFailed);
+    }
+    return has_primary;
+  }
+
   asio::awaitable<bool> Refresh() {
     if (m_table.unavailable) {
       co_return false;
@@ -191,6 +238,7 @@
   Position m_reported_log_end;
   OutageTakeover m_outage;
   Takeover m_takeover;
+  std::optional<RosterKeeper> m_rosters;
 };
 
 }  // namespace cardamom::testing
