Departed servers whose process has ended are covered at once

Cause: a position of the primary covers a departed server only if it was asked 4 s after the departure, or 8 s without evidence that the process has ended.

Change: a server that is listed with the id or the address of the departed one, and started later, shows that the process has ended. What it had received was in the primary's log by then, so the next position that the primary gives covers it.

DepartedServerTest.IsCoveredAtOnceIfAnotherServerHasItsAddress; that a lagging replica is still not promoted is shown by IsNotIgnoredForAnotherServerAtItsAddressWhileTheOthersLag.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -151,6 +151,7 @@
       m_context.events.Emit(EventCode::kEndpointLeaving, {.group = m_id, .endpoint = id});
     }
   }
+  FindEndedProcesses();
   if (!m_primary && !m_endpoints.empty()) {
     StartSearch();
   }
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -46,6 +46,8 @@
   BootTime departed_at;
   // The server has restarted under the same id, without its log.
   bool restarted = false;
+  // When the list first showed that the process has ended: another one has its id or its address.
+  std::optional<BootTime> ended_by;
   // The server was the latest primary.
   bool was_primary = false;
   // The server had announced that it leaves.
@@ -53,7 +55,8 @@
   // This proxy has never seen the server listed, and knows no address to ask.
   bool never_listed = false;
   // Least position that a primary reported when it was asked kGoneAfterProcessExit or
-  // kGoneAfterNoAnswer after the departure. If the server is gone, it acknowledged no later commit.
+  // kGoneAfterNoAnswer after the departure, the former also after `ended_by`. If the process has
+  // ended, or the server gives no answer, it acknowledged no later commit.
   std::optional<Position> position_after_exit;
   std::optional<Position> position_after_no_answer;
 };
@@ -87,7 +90,7 @@
 
   const GroupId& id() const { return m_id; }
   // The gate that every acknowledgement of a commit passes.
-  AcknowledgementGate& acknowledgements() { return m_context.acknowledgements.Of(m_id); }
+  AcknowledgementGate& acknowledgements() const { return m_context.acknowledgements.Of(m_id); }
 
   // Adopts the latest server list and settings of the group.
   void Update(const std::vector<EndpointEntry>& entries, const GroupSettings& settings);
@@ -222,6 +225,8 @@
   bool ForgetDeparted(DepartedServer& server,
                       const std::map<EndpointId, const EndpointEntry*>& listed,
                       TimePoint now);
+  // Notes which departed servers have ended, since another listed one has their address.
+  void FindEndedProcesses();
   void RecordPrimaryLost();
   void SetPrimary(const EndpointPtr& endpoint, Term term, const char* source);
   // Reports a primary whose answer to a request sent at `asked_at` shows that it lacks a commit
--- a/src/gateway/group_client_departed.cc
+++ b/src/gateway/group_client_departed.cc
@@ -30,6 +30,9 @@
     departed.since = now;
     departed.departed_at = BootClock::now();
     departed.restarted = found != listed.end();
+    if (departed.restarted && found->second->started_ms > it->second->entry.started_ms) {
+      departed.ended_by = departed.departed_at;
+    }
     departed.was_primary = IsLatestPrimary(it->second);
     departed.announced = it->second->entry.leaving;
     m_departed.push_back(std::move(departed));
@@ -52,9 +55,13 @@
       return true;
     }
     server.restarted = true;
+    if (found->second->started_ms > entry.started_ms && !server.ended_by) {
+      server.ended_by = BootClock::now();
+    }
   }
+  const bool process_gone = server.restarted || server.ended_by;
   const auto& position =
-      server.restarted ? server.position_after_exit : server.position_after_no_answer;
+      process_gone ? server.position_after_exit : server.position_after_no_answer;
   if (now - server.since <= kDepartedRetention || !position) {
     return false;
   }
@@ -62,6 +69,20 @@
   return true;
 }
 
+void GroupClient::FindEndedProcesses() {
+  for (auto& server : m_departed) {
+    const auto& entry = server.endpoint->entry;
+    const bool replaced =
+        std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& item) {
+          const auto& listed = item.second->entry;
+          return listed.address == entry.address && listed.started_ms > entry.started_ms;
+        });
+    if (replaced && !server.ended_by) {
+      server.ended_by = BootClock::now();
+    }
+  }
+}
+
 void GroupClient::ExpectServers(const GroupRoster& roster) {
   m_expected_position = std::max(m_expected_position, roster.covered_by);
   for (const auto& server : roster.servers) {
--- a/src/gateway/group_client_evidence.cc
+++ b/src/gateway/group_client_evidence.cc
@@ -15,14 +15,16 @@
 constexpr Millis kBackoffBase{100};
 constexpr Millis kMaxBackoff{1000};
 
+// What a process received before it ended was in the log of the primary by then.
 void RecordPosition(DepartedServer& server, BootTime asked_at, Position position) {
-  const auto record = [&](std::optional<Position>& least, Millis gone_for) {
-    if (asked_at >= server.departed_at + gone_for) {
+  const auto record = [&](std::optional<Position>& least, BootTime gone_by) {
+    if (asked_at >= gone_by) {
       least = std::min(least.value_or(position), position);
     }
   };
-  record(server.position_after_exit, kGoneAfterProcessExit);
-  record(server.position_after_no_answer, kGoneAfterNoAnswer);
+  const auto gone_by = server.departed_at + kGoneAfterProcessExit;
+  record(server.position_after_exit, std::min(gone_by, server.ended_by.value_or(gone_by)));
+  record(server.position_after_no_answer, server.departed_at + kGoneAfterNoAnswer);
 }
 
 }  // namespace
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -205,7 +205,8 @@
     // The server is alive and may still acknowledge commits.
     return std::nullopt;
   }
-  const bool process_gone = departed.restarted || failed_with(ResultCode::kBadAnswer) ||
+  const bool process_gone = departed.restarted || departed.ended_by ||
+                            failed_with(ResultCode::kBadAnswer) ||
                             failed_with(ResultCode::kConnectionRefused);
   return process_gone ? departed.position_after_exit : departed.position_after_no_answer;
 }
--- a/tests/unit/departed_server_test.cc
+++ b/tests/unit/departed_server_test.cc
@@ -157,6 +157,35 @@
   EXPECT_TRUE(WasNothingLost());
 }
 
+// Guards against a group that stays without a primary for seconds, though a server that took over
+// the departed one's address shows that it has ended.
+TEST_F(DepartedServerTest, IsCoveredAtOnceIfAnotherServerHasItsAddress) {
+  CommitOnFirstReplicaOnly();
+  m_fake_group.Exit(m_fake_group.server(1));
+  m_fake_group.Restart(m_fake_group.server(1), 1000);
+  m_fake_group.server(1).entry.id = EndpointId("e7");
+  List(m_fake_group.Entries());
+  Sample(0);
+  CatchUp();
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
+// As above, while the other replica lags.
+TEST_F(DepartedServerTest, IsNotIgnoredForAnotherServerAtItsAddressWhileTheOthersLag) {
+  CommitOnFirstReplicaOnly();
+  m_fake_group.Exit(m_fake_group.server(1));
+  m_fake_group.Restart(m_fake_group.server(1), 1000);
+  m_fake_group.server(1).replication_blocked = true;
+  m_fake_group.server(1).entry.id = EndpointId("e7");
+  List(m_fake_group.Entries());
+  Sample(0);
+  m_fake_group.server(0).unresponsive = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(WasNothingLost());
+}
+
 // Guards against a lost commit: a replica that was not listed any more had no free slot to obey the
 // stop, and counted as gone although it answered and still acknowledged commits.
 TEST_F(DepartedServerTest, AReplicaThatIsTooBusyToStopIsNotGone) {
