Takeovers name the servers that they know in the row; restarts in the model

Cause: the model of takeovers now walks restarts of all proxies.

Change: a holder adds the servers that it knows, and that the roster does not cover, to the row with the writes that it makes before an order anyway. Before a token is reserved, the servers of the roster are expected. The first home records the roster again after a takeover (a greater token than that of the row it knows). The functions on rosters have a file of their own.

--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -96,8 +96,7 @@
 asio::awaitable<std::optional<TokenReservation>> OutageTakeover::WriteReservation(
     std::shared_ptr<GroupClient> group) {
   const auto primary = group->primary();
-  const auto snapshot = group->SnapshotServerList();
-  if (!primary || snapshot.changing) {
+  if (!primary || group->SnapshotServerList().changing) {
     co_return std::nullopt;
   }
   // The primary is asked for its term, since that of its last log entry may be older.
@@ -109,6 +108,10 @@
   if (!loaded) {
     co_return std::nullopt;
   }
+  if (loaded->roster) {
+    group->ExpectServers(*loaded->roster);
+  }
+  const auto snapshot = group->SnapshotServerList();
   if (!loaded->IsHistoryLost()) {
     asked = {primary};
   } else if (DecideFirstFenceClaim(m_hooks.era_age(loaded->era)) == FenceClaim::kWait) {
--- a/src/gateway/roster_keeper.cc
+++ b/src/gateway/roster_keeper.cc
@@ -1,74 +1,32 @@
 #include "gateway/roster_keeper.h"
 
-#include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
 
 #include "async/spawn.h"
+#include "gateway/group_roster.h"
 
 namespace cardamom {
 namespace {
 
 constexpr Millis kStoreTimeout{800};
-constexpr Millis kAttemptInterval{2000};
-
-GroupRoster MakeRosterOf(
-    const GroupClient& group,
-    const std::function<std::optional<Position>(const DepartedServer&)>& position_covering) {
-  GroupRoster roster;
-  roster.covered_by = group.DepartedPosition();
-  for (const auto& [id, endpoint] : group.endpoints()) {
-    roster.servers.push_back({id, endpoint->entry.started_ms});
-  }
-  for (const auto& server : group.Departed()) {
-    const auto position = position_covering(server);
-    if (position) {
-      roster.covered_by = std::max(roster.covered_by, position);
-    } else {
-      const auto& entry = server.endpoint->entry;
-      roster.servers.push_back({entry.id, entry.started_ms});
-    }
-  }
-  std::sort(roster.servers.begin(), roster.servers.end(), [](const auto& left, const auto& right) {
-    return std::tie(left.endpoint, left.started_ms) < std::tie(right.endpoint, right.started_ms);
-  });
-  return roster;
-}
-
-// Whether the primary leads and a replica holds all that servers outside the roster can have
-// acknowledged. The end of a primary's log may be on no other server.
-bool IsSupported(const GroupRoster& roster,
-                 const EndpointId& primary,
-                 const ServerStatuses& statuses) {
-  const auto leader = statuses.find(primary);
-  return leader != statuses.end() && leader->second.is_primary &&
-         (!roster.covered_by ||
-          std::any_of(statuses.begin(), statuses.end(), [&](const auto& entry) {
-            return !entry.second.is_primary && entry.second.received >= *roster.covered_by;
-          }));
-}
+constexpr Millis kAttemptInterval{1000};
 
 }  // namespace
 
-GroupRoster MakeRoster(const GroupClient& group, const ServerAnswers& asked) {
-  return MakeRosterOf(
-      group, [&](const DepartedServer& server) { return PositionCovering(server, asked); });
-}
-
 RosterKeeper::RosterKeeper(GatewayContext& context, TablePort table, RosterHooks hooks)
     : m_context(context), m_fences(std::move(table)), m_hooks(std::move(hooks)) {}
 
+bool RosterKeeper::IsRowUnchanged(const State& state, const GroupClient& group) const {
+  return state.recorded && state.era == m_hooks.store_era() &&
+         state.token >= group.acknowledgements().hold().token();
+}
+
 bool RosterKeeper::IsDue(const State& state, const GroupClient& group) const {
-  if (!state.recorded || state.era != m_hooks.store_era()) {
-    return true;
-  }
   // A server whose process has ended is covered sooner than one that only gives no answer, but that
-  // it has ended shows only when it is asked.
-  const auto possible =
-      MakeRosterOf(group, [](const DepartedServer& server) { return server.position_after_exit; });
-  return possible.servers != state.recorded->servers;
+  // it has ended may show only when it is asked.
+  return !IsRowUnchanged(state, group) || LeastRosterServers(group) != state.recorded->servers;
 }
 
 bool RosterKeeper::Maintain(const std::shared_ptr<GroupClient>& group) {
@@ -108,8 +66,8 @@
   const ControlRequest question;
   const auto answers = co_await SendToServers(m_context, group, targets, question);
   const auto known = MakeRoster(*group, answers);
-  const bool is_recorded = state.recorded && state.era == m_hooks.store_era() &&
-                           known.servers == state.recorded->servers;
+  const bool is_recorded =
+      IsRowUnchanged(state, *group) && known.servers == state.recorded->servers;
   if (is_recorded || !IsSupported(known, primary->entry.id, answers.statuses)) {
     co_return;
   }
@@ -122,8 +80,7 @@
   }
   auto roster = MakeRoster(*group, answers);
   if (loaded->row.roster == roster) {
-    state.recorded = std::move(roster);
-    state.era = loaded->era;
+    SetRecorded(group->id(), *loaded);
     co_return;
   }
   if (!IsSupported(roster, primary->entry.id, answers.statuses)) {
@@ -155,10 +112,16 @@
        .term = group->term(),
        .detail = fmt::format("{} servers, others covered by {}.{}", roster.servers.size(),
                              covered_by.term.value(), covered_by.index.value())});
-  auto& state = m_states[group->id()];
-  state.recorded = std::move(roster);
-  state.era = loaded.era;
+  loaded.row = std::move(row);
+  SetRecorded(group->id(), loaded);
   co_return true;
 }
 
+void RosterKeeper::SetRecorded(const GroupId& group, const LoadedFenceRow& loaded) {
+  auto& state = m_states[group];
+  state.recorded = loaded.row.roster;
+  state.era = loaded.era;
+  state.token = loaded.row.token;
+}
+
 }  // namespace cardamom
--- a/src/gateway/roster_keeper.h
+++ b/src/gateway/roster_keeper.h
@@ -9,7 +9,6 @@
 #include "directory/table_port.h"
 #include "gateway/fence_store.h"
 #include "gateway/group_client.h"
-#include "gateway/server_poll.h"
 
 namespace cardamom {
 
@@ -22,10 +21,6 @@
   std::function<StoreEra()> store_era;
 };
 
-// The roster of `group` as this process knows it. A departed server counts as covered only as far
-// as its answer in `asked` allows. Not thread safe.
-GroupRoster MakeRoster(const GroupClient& group, const ServerAnswers& asked);
-
 // Not thread safe: all use is on the thread of `context`, which must outlive the object.
 class RosterKeeper {
  public:
@@ -33,24 +28,29 @@
 
   // Starts to record the roster of `group` if this proxy is its owner and knows that the recorded
   // one is out of date. May be called on every tick: the store and the servers are asked at most
-  // once in 2 s. Returns whether a write is in progress.
+  // once in 1 s. Returns whether a write is in progress.
   bool Maintain(const std::shared_ptr<GroupClient>& group);
 
  private:
   struct State {
-    // The roster in the row when this process last read or wrote it, and the era of that row.
+    // The roster in the row when this process last read or wrote it, and the era and the last token
+    // of that row. The holder of a later token may have added servers.
     std::optional<GroupRoster> recorded;
     StoreEra era;
+    std::uint64_t token = 0;
     TimePoint next_attempt_at;
     bool running = false;
   };
 
+  // Whether the row holds the recorded roster still, as far as this process knows.
+  bool IsRowUnchanged(const State& state, const GroupClient& group) const;
   bool IsDue(const State& state, const GroupClient& group) const;
   asio::awaitable<void> Record(std::shared_ptr<GroupClient> group);
   // Whether `row` was replaced by one with the roster.
   asio::awaitable<bool> Write(std::shared_ptr<GroupClient> group,
                               LoadedFenceRow loaded,
                               GroupRoster roster);
+  void SetRecorded(const GroupId& group, const LoadedFenceRow& loaded);
 
   GatewayContext& m_context;
   const FenceStore m_fences;
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "async/spawn.h"
+#include "gateway/group_roster.h"
 
 namespace cardamom {
 namespace {
@@ -156,7 +157,9 @@
   }
   claim.row = change(claim.row, loaded->now_ms);
   claim.row.at_ms = loaded->now_ms;
-  claim.row.roster = loaded->row.roster;
+  // A later process may know the servers of this attempt from the row only.
+  const auto recorded = loaded->row.roster ? loaded->row.roster : claim.roster;
+  claim.row.roster = AddKnownServers(recorded.value_or(GroupRoster()), group);
   const auto written =
       co_await m_fences.Replace(group.id(), *loaded, claim.row, Clock::now() + kStoreTimeout);
   co_return written.has_value() && *written;
--- a/tests/unit/roster_test.cc
+++ b/tests/unit/roster_test.cc
@@ -14,7 +14,7 @@
 constexpr Millis kProcessGone{4100};
 constexpr Millis kNoAnswer{8100};
 // Longer than the pause between two attempts to record a roster.
-constexpr Millis kNextRecord{2500};
+constexpr Millis kNextRecord{1500};
 
 class RosterTest : public TakeoverFixture {
  protected:
@@ -111,6 +111,17 @@
   EXPECT_TRUE(m_orders.empty());
 }
 
+// Guards against a database that stays without a primary if that is lost soon after a server was
+// replaced: the one that took over its address shows that its process has ended.
+TEST_F(RosterTest, AServerWhoseAddressIsTakenOverLeavesTheRosterAtOnce) {
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  WaitAndMaintain(kListSettles);
+  ReplaceFirstReplica();
+  WaitAndMaintain(kNextRecord);
+  EXPECT_TRUE(IsInRoster("e7"));
+  EXPECT_FALSE(IsInRoster("e1"));
+}
+
 // Guards against a lost commit: a process that never saw a departed server recorded a roster
 // without it.
 TEST_F(RosterTest, AProcessThatHasJustStartedKeepsServersThatItHasNotSeenInTheRoster) {
@@ -152,6 +163,17 @@
   EXPECT_TRUE(m_orders.empty());
 }
 
+// Guards against a lost commit: a server that joined after the roster was recorded is promoted, and
+// is gone when all processes restart.
+TEST_F(RosterTest, ATakeoverAddsTheServersThatItKnows) {
+  const auto position = m_fake_group.server(0).position();
+  PutRoster({"e0", "e1"}, position);
+  m_fake_group.server(0).unresponsive = true;
+  ASSERT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  EXPECT_TRUE(IsInRoster("e0") && IsInRoster("e1") && IsInRoster("e2"));
+  EXPECT_EQ(Row().roster->covered_by, position);
+}
+
 // Guards against a roster that is lost with the next takeover.
 TEST_F(RosterTest, ATakeoverKeepsTheRoster) {
   WaitAndMaintain(kListSettles + Millis(200));
@@ -162,6 +184,22 @@
   EXPECT_EQ(Row().roster, roster);
 }
 
+// Guards against a lost commit: a process that has just started reserved a token for the servers
+// that it knew, and used it although another one may have held the last commits.
+TEST_F(RosterTest, NoTokenIsReservedWhileAServerOfTheRosterIsMissing) {
+  auto entries = m_fake_group.Entries();
+  PutRoster({"e0", "e1", "e2"}, std::nullopt);
+  auto row = Row();
+  row.roster->servers.push_back({EndpointId("e9"), 1});
+  m_table.Put("fences", "orders", EncodeJson(row));
+  StartProxy(entries);
+  for (int second = 0; second < 9; ++second) {
+    MaintainRow(Millis(1000));
+  }
+  EXPECT_FALSE(Row().reserved);
+  EXPECT_TRUE(IsInRoster("e9"));
+}
+
 // The roster costs calls to the store only when servers come or go.
 TEST_F(RosterTest, ARosterIsRecordedOnce) {
   WaitAndMaintain(Millis(9000));
--- a/tests/unit/takeover_attempt.cc
+++ b/tests/unit/takeover_attempt.cc
@@ -23,6 +23,9 @@
   if (!failing && !m_world.OneIn(m_world.options().contended ? 4 : 30)) {
     return Wait(m_world.Pick(100));
   }
+  if (!IsListSettled()) {
+    return Wait(m_world.Pick(200));
+  }
   m_began = m_world.now();
   m_valid_until = m_began + kTokenValidity.count();
   Enter(Stage::kLoadRow, m_store.Latency());
@@ -77,6 +80,9 @@
     return Finish("the list was not refreshed");
   }
   RefreshList();
+  if (m_loaded.roster) {
+    ExpectServers(*m_loaded.roster);
+  }
   Send(Operation::kStatus, ListedServers(), Term());
   Enter(Stage::kSurvey, 0);
 }
@@ -173,6 +179,8 @@
 }
 
 void Proxy::WriteRow() {
+  const auto recorded = m_loaded.row.roster ? m_loaded.row.roster : m_loaded.roster;
+  m_row.roster = AddKnownServers(recorded.value_or(GroupRoster()));
   m_row.open = m_update == Update::kMark;
   m_row.at_ms = m_loaded.now_ms;
   if (m_announced) {
@@ -252,7 +260,7 @@
     }
   }
   for (const auto& departed : m_departed) {
-    if (!departed.restarted) {
+    if (!departed.restarted && !departed.never_listed) {
       replicas.insert(departed.server);
     }
   }
@@ -270,8 +278,9 @@
     result.was_primary = was_primary;
     result.leaving = leaving;
     for (const auto& [answered, status] : answers) {
-      const bool is_listed_incarnation = !m_world.options().checks_link_age || was_primary ||
-                                         m_group.At(i).since <= m_began - kListPropagationTime;
+      const bool is_listed_incarnation =
+          !m_world.options().checks_link_age || was_primary ||
+          std::max(m_group.At(i).since, m_started_at) <= m_began - kListPropagationTime;
       const bool stopped = was_primary ? !status.is_primary : status.paused_at >= m_stop_at;
       if (answered == i && stopped && is_listed_incarnation) {
         result.stopped = true;
@@ -290,15 +299,21 @@
   }
   const std::vector<std::pair<int, ServerStatus>> none;
   for (const auto& departed : m_departed) {
-    add(departed.server, false, true, departed.restarted ? none : m_answers);
+    const bool is_asked = !departed.restarted && !departed.never_listed;
+    add(departed.server, false, true, is_asked ? m_answers : none);
     auto& result = results.back();
-    result.was_primary = !result.stopped && m_primary == departed.server;
+    result.was_primary = !result.stopped && departed.was_primary;
     if (m_world.options().samples_departed) {
       result.covered_by = departed.covering;
     } else if (m_world.now() - departed.since > GoneAfter(departed)) {
       result.covered_by = Position();
     }
   }
+  if (m_expected_position && !m_world.IsDisabled(Rule::kRosterPosition)) {
+    StopResult others;
+    others.covered_by = m_expected_position;
+    results.push_back(others);
+  }
   return results;
 }
 
--- a/tests/unit/takeover_fleet.cc
+++ b/tests/unit/takeover_fleet.cc
@@ -103,10 +103,19 @@
   }
 }
 
-Fleet::Fleet(World& world, Group& group) : m_world(world) {
+Fleet::Fleet(World& world, Group& group) : m_world(world), m_group(group) {
+  Restart();
+}
+
+void Fleet::Restart() {
+  m_gates.clear();
   for (int i = 0; i < kFleetSize; ++i) {
-    m_gates.emplace_back(world, group, i);
+    m_gates.emplace_back(m_world, m_group, i);
   }
+  m_sent.clear();
+  m_acknowledgements.clear();
+  m_messages.clear();
+  m_answers = {};
 }
 
 void Fleet::SendCommit(int commit, Term term) {
@@ -117,6 +126,10 @@
 void Fleet::Acknowledge(int commit, Position log_end) {
   const auto sent = std::find_if(m_sent.begin(), m_sent.end(),
                                  [&](const Commit& other) { return other.commit == commit; });
+  if (sent == m_sent.end()) {
+    // Its proxy has restarted.
+    return;
+  }
   const bool slow = m_world.PickForFleet(8) == 0;
   const auto delay = m_world.PickForFleet(slow ? kMaxAnswerDelay : 40);
   m_acknowledgements.push_back({*sent, log_end, m_world.now() + delay});
--- a/tests/unit/takeover_fleet.h
+++ b/tests/unit/takeover_fleet.h
@@ -106,6 +106,8 @@
   void SendRelease(int from, const Release& release);
 
   void Advance();
+  // All proxies start again. Callers hear nothing of what was under way.
+  void Restart();
   void SuspendSome();
   // Cuts a holder off from a proxy or reconnects it.
   void ChangeReach();
@@ -151,6 +153,7 @@
   }
 
   World& m_world;
+  Group& m_group;
   std::vector<AcknowledgementGate> m_gates;
   std::vector<Commit> m_sent;
   std::vector<Acknowledgement> m_acknowledgements;
--- a/tests/unit/takeover_group.cc
+++ b/tests/unit/takeover_group.cc
@@ -5,7 +5,6 @@
 namespace cardamom::takeover_model {
 namespace {
 
-constexpr int kServersAtStart = 3;
 // Three heartbeat intervals without a heartbeat remove a server from the list.
 constexpr std::int64_t kLapse = 3000;
 // A living server is back in the list after this time.
--- a/tests/unit/takeover_group.h
+++ b/tests/unit/takeover_group.h
@@ -16,6 +16,7 @@
 
 // Servers that a group can have over a walk. Numbers are not used again.
 constexpr int kMaxServers = 6;
+constexpr int kServersAtStart = 3;
 
 inline EndpointId IdOf(int i) {
   return EndpointId("s" + std::to_string(i));
--- a/tests/unit/takeover_model_test.cc
+++ b/tests/unit/takeover_model_test.cc
@@ -3,7 +3,7 @@
 // are also switched off, to show that the walks can fail.
 //
 // Not modelled: homes that disagree on whether the store is unavailable, calls to the platform that
-// are refused for their number, and proxies that restart.
+// are refused for their number, and proxies that restart one by one.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -71,6 +71,12 @@
                                .samples_departed = true,
                                .checks_link_age = true};
 
+// All proxies restart, with servers lost before and after.
+constexpr WalkOptions WithFleetRestarts(WalkOptions options) {
+  options.fleet_restarts = true;
+  return options;
+}
+
 // Servers join, restart and stay unlisted at any moment, beside all other disruptions.
 constexpr WalkOptions WithServersThatAppear(WalkOptions options) {
   options.restarts_while_paused = true;
@@ -246,6 +252,23 @@
   ExpectNoLostCommit(options);
 }
 
+// Guards against commits of servers that left before all proxies restarted.
+TEST(TakeoverModelTest, NoAcknowledgedCommitIsEverLostByProxiesThatRestart) {
+  ExpectNoLostCommit(WithFleetRestarts(kWithMembershipChanges));
+}
+
+// As above, with a row of an earlier era.
+TEST(TakeoverModelTest, NoAcknowledgedCommitIsEverLostByRestartsAfterARestoreOfTheStore) {
+  auto options = WithFleetRestarts(kWithMembershipChanges);
+  options.restores = true;
+  ExpectNoLostCommit(options);
+}
+
+// As above, with replicas that restart without their logs.
+TEST(TakeoverModelTest, NoAcknowledgedCommitIsEverLostByRestartsBesideLogLosses) {
+  ExpectNoLostCommit(WithFleetRestarts(kWithLogLosses));
+}
+
 TEST(TakeoverModelTest, TheWalksPromoteWithAndWithoutTheStore) {
   const auto progress = MeasureProgress(kWithCuts);
   EXPECT_GT(progress.promoted, 200);
@@ -265,6 +288,7 @@
     EXPECT_GT(MeasureProgress(options).promoted, 100);
   }
   EXPECT_GT(MeasureProgress(kWithAll).promoted, 10);
+  EXPECT_GT(MeasureProgress(WithFleetRestarts(kWithMembershipChanges)).promoted, 100);
 }
 
 struct RuleCase {
@@ -286,10 +310,18 @@
   EXPECT_TRUE(Walk(14'151, Rule::kNone, options).Run());
 }
 
+// Guards against a server that joined since the roster was recorded, was promoted, and is gone when
+// all proxies restart. Few walks show this.
+TEST(TakeoverModelTest, ATakeoverThatDoesNotRecordItsServersLosesACommitAfterARestart) {
+  const auto options = WithFleetRestarts(kWithMembershipChanges);
+  EXPECT_FALSE(Walk(45'282, Rule::kTakeoversRecordServers, options).Run());
+  EXPECT_TRUE(Walk(45'282, Rule::kNone, options).Run());
+}
+
 // kReservationChecks and kMarkBeforeStopping are left out: without them hardly a walk loses a
 // commit. An announcement makes a reserved token void, and a row is only marked while its token is
-// the last one. So are kHoldsGrow, kRefusalOfEachCopy and kReadListAgain. Rules without which only
-// walks without holds lose a commit are shown on these.
+// the last one. So are kHoldsGrow, kRefusalOfEachCopy, kReadListAgain and kRosterPosition, which
+// RosterTest shows. Rules without which only walks without holds lose a commit are shown on these.
 INSTANTIATE_TEST_SUITE_P(
     Rules,
     TakeoverRuleTest,
@@ -309,7 +341,9 @@
                       RuleCase{Rule::kReservedNeedsLogEnd, WithUnlistedServers()},
                       RuleCase{Rule::kChangingListNeedsLogEnd, WithJoins()},
                       RuleCase{Rule::kHoldOutlastsUnansweredOrder, WithJoins()},
-                      RuleCase{Rule::kReleaseTerm, WithJoins()}));
+                      RuleCase{Rule::kReleaseTerm, WithJoins()},
+                      RuleCase{Rule::kRoster, WithFleetRestarts(kWithMembershipChanges)},
+                      RuleCase{Rule::kRosterIsKept, WithFleetRestarts(kWithMembershipChanges)}));
 
 // The holds alone make these walks safe.
 TEST(TakeoverModelTest, WithoutHoldsServersThatAppearLoseACommit) {
--- a/tests/unit/takeover_platform.cc
+++ b/tests/unit/takeover_platform.cc
@@ -64,17 +64,36 @@
   return true;
 }
 
+Store::Store(World& world) : m_world(world) {
+  if (!world.options().fleet_restarts) {
+    return;
+  }
+  // The roster was recorded before the walk begins; a copy is not older than that.
+  FenceRow row;
+  row.roster = GroupRoster();
+  for (int i = 0; i < kServersAtStart; ++i) {
+    row.roster->servers.push_back({IdOf(i), 1});
+  }
+  m_rows[StoreEra()] = {row, ++m_version};
+  m_copies.push_back({0, m_rows, m_version});
+}
+
 StoreEra Store::RowEra() const {
   return m_world.IsDisabled(Rule::kTokensGrowOverEras) ? StoreEra() : m_era;
 }
 
 Store::Loaded Store::Load() const {
   const auto era = RowEra();
+  std::vector<FenceRow> latest_first;
+  for (auto it = m_rows.rbegin(); it != m_rows.rend(); ++it) {
+    latest_first.push_back(it->second.row);
+  }
+  const auto roster = FindLatestRoster(latest_first);
   const auto it = m_rows.find(era);
   if (it == m_rows.end()) {
-    return {era, InitialFenceRow(era), 0, m_world.now(), era > StoreEra()};
+    return {era, InitialFenceRow(era), 0, m_world.now(), era > StoreEra(), roster};
   }
-  return {era, it->second.row, it->second.version, m_world.now(), false};
+  return {era, it->second.row, it->second.version, m_world.now(), false, roster};
 }
 
 bool Store::Write(const Loaded& loaded, const FenceRow& row) {
--- a/tests/unit/takeover_platform.h
+++ b/tests/unit/takeover_platform.h
@@ -58,9 +58,10 @@
     std::int64_t now_ms = 0;
     // An era other than the first one holds no row yet.
     bool history_lost = false;
+    std::optional<GroupRoster> roster;
   };
 
-  explicit Store(World& world) : m_world(world) {}
+  explicit Store(World& world);
 
   Loaded Load() const;
   // Replaces the row unless it was written since it was loaded. Returns whether the store answered
--- a/tests/unit/takeover_proxy.cc
+++ b/tests/unit/takeover_proxy.cc
@@ -33,6 +33,9 @@
   if (m_index == 0 && m_world.now() >= m_reserve_at) {
     Reserve();
   }
+  if (m_index == 0 && m_world.options().fleet_restarts && m_world.now() >= m_roster_at) {
+    KeepRoster();
+  }
   if (m_world.now() >= m_wake_at) {
     Step();
   }
@@ -129,18 +132,25 @@
       SetDeparted(i);
     }
     held = {server.listed, server.leaving, server.listed_started_ms};
+    if (held.listed) {
+      m_known_processes.emplace(i, held.started_ms);
+    }
   }
   std::erase_if(m_departed, [this](const Departed& departed) {
     const bool expired = m_world.now() - departed.since > kDepartedRetention;
     return (expired && !m_world.options().samples_departed) ||
-           (!departed.restarted && m_group.At(departed.server).listed);
+           (!departed.restarted && m_group.At(departed.server).listed &&
+            m_group.At(departed.server).listed_started_ms == departed.started_ms);
   });
 }
 
 void Proxy::SetDeparted(int i) {
   const auto& held = m_list[static_cast<std::size_t>(i)];
   if (!held.leaving || m_world.options().samples_departed) {
-    m_departed.push_back({i, m_world.now(), m_group.At(i).listed, held.leaving, std::nullopt});
+    // A process that has seen no primary yet takes the one that the list shows.
+    const bool was_primary = m_has_seen_primary ? m_primary == i : m_group.At(i).is_primary;
+    m_departed.push_back({i, m_world.now(), m_group.At(i).listed, held.leaving, std::nullopt,
+                          held.started_ms, was_primary, false});
   }
   if (m_primary == i) {
     m_primary.reset();
@@ -151,6 +161,7 @@
   for (int i = 0; i < kMaxServers; ++i) {
     if (m_list[static_cast<std::size_t>(i)].listed && Reaches(i) && m_group.At(i).is_primary) {
       m_primary = i;
+      m_has_seen_primary = true;
       m_term = std::max(m_term, m_group.At(i).term);
       SampleForDeparted(m_group.At(i).received());
     } else if (m_primary == i && Reaches(i)) {
@@ -160,8 +171,10 @@
 }
 
 std::int64_t Proxy::GoneAfter(const Departed& departed) const {
-  const bool process_gone = departed.restarted || !m_group.At(departed.server).up;
-  return process_gone ? kGoneAfterProcessExit : kGoneAfterNoAnswer;
+  if (departed.restarted) {
+    return 0;
+  }
+  return !m_group.At(departed.server).up ? kGoneAfterProcessExit : kGoneAfterNoAnswer;
 }
 
 void Proxy::SampleForDeparted(Position primary) {
@@ -287,6 +300,9 @@
       if (!held) {
         m_reserve_loaded = m_store.Load();
         m_reserve_stage = ReserveStage::kLoaded;
+        if (m_reserve_loaded.roster && m_world.options().fleet_restarts) {
+          ExpectServers(*m_reserve_loaded.roster);
+        }
       }
       return;
     }
--- a/tests/unit/takeover_proxy.h
+++ b/tests/unit/takeover_proxy.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "failover/fence_row.h"
@@ -31,6 +32,8 @@
   void Observe();
   // Cuts the proxy off from a server or reconnects it.
   void ChangeReach(int i);
+  // Ends the process and starts another one, which knows nothing of before.
+  void Restart();
   bool is_idle() const { return m_stage == Stage::kIdle; }
 
  private:
@@ -73,6 +76,10 @@
     bool leaving = false;
     // Position of the primary, sampled when the server was certainly gone.
     std::optional<Position> covering;
+    std::int64_t started_ms = 0;
+    bool was_primary = false;
+    // Known from a roster only.
+    bool never_listed = false;
   };
 
   std::string Name() const { return "vm-" + std::to_string(m_index); }
@@ -86,6 +93,13 @@
   // Observation.
   void RefreshList();
   void SetDeparted(int i);
+  bool IsListSettled() const;
+  void ExpectServers(const GroupRoster& roster);
+  GroupRoster MakeRoster() const;
+  GroupRoster AddKnownServers(GroupRoster recorded) const;
+  bool IsSupported(const GroupRoster& roster) const;
+  // Records the roster, in two steps.
+  void KeepRoster();
   void ProbePrimary();
   void SampleForDeparted(Position primary);
   std::int64_t GoneAfter(const Departed& departed) const;
@@ -161,6 +175,12 @@
   std::set<int> m_unreachable;
   std::array<Listed, kMaxServers> m_list;
   std::vector<Departed> m_departed;
+  std::set<std::pair<int, std::int64_t>> m_known_processes;
+  std::optional<Position> m_expected_position;
+  std::int64_t m_started_at = 0;
+  bool m_has_seen_primary = true;
+  std::int64_t m_roster_at = 0;
+  std::optional<Store::Loaded> m_roster_loaded;
   std::optional<int> m_primary;
   Term m_term{1};
 
--- a/tests/unit/takeover_walk.cc
+++ b/tests/unit/takeover_walk.cc
@@ -5,6 +5,8 @@
 
 constexpr std::int64_t kDuration = 40'000;
 constexpr int kMaxTick = 40;
+// Mean number of ticks between restarts of all proxies: about 14 s.
+constexpr int kFleetRestartInterval = 700;
 
 }  // namespace
 
@@ -45,6 +47,9 @@
     } else if (event < 28) {
       proxy.Observe();
     }
+    if (m_world.options().fleet_restarts && m_world.PickForFleet(kFleetRestartInterval) == 0) {
+      RestartFleet();
+    }
     m_fleet.Advance();
     const int first = m_world.Pick(2);
     m_proxies[static_cast<std::size_t>(first)].Advance();
@@ -53,6 +58,14 @@
   return IsSafe();
 }
 
+void Walk::RestartFleet() {
+  m_world.Trace("all proxies restart:{}", m_group.Describe());
+  m_fleet.Restart();
+  for (auto& proxy : m_proxies) {
+    proxy.Restart();
+  }
+}
+
 std::vector<std::string> Walk::RunTraced() {
   m_world.set_traced();
   Run();
--- a/tests/unit/takeover_walk.h
+++ b/tests/unit/takeover_walk.h
@@ -32,6 +32,7 @@
   std::uint64_t restores() const { return m_store.era().value(); }
 
  private:
+  void RestartFleet();
   bool IsSafe() const { return m_group.safe() && m_store.safe(); }
 
   World m_world;
--- a/tests/unit/takeover_world.h
+++ b/tests/unit/takeover_world.h
@@ -65,6 +65,14 @@
   kRefusalOfEachCopy,
   // The list is not read again after the servers were stopped.
   kReadListAgain,
+  // Processes that have just started know the listed servers only.
+  kRoster,
+  // The roster names servers only, and no position that covers the others.
+  kRosterPosition,
+  // A process that has just started records a roster without the servers that it has not seen.
+  kRosterIsKept,
+  // Takeovers add no servers to the roster.
+  kTakeoversRecordServers,
 };
 
 // What can happen in a walk beyond crashes of the primary, outages of the store and orders whose
@@ -124,6 +132,8 @@
   bool concurrent_commits = false;
   // Holders end their attempts between any two steps without a trace.
   bool holder_deaths = false;
+  // All proxies end at the same moment and start again, without memory.
+  bool fleet_restarts = false;
 };
 
 class World {
