HoldFleetTest: wait until the proxy knows the primary

Cause: the test, not the hold. The fixture waits until all proxies are ready, which does not imply that each knows the primary. A proxy that does not forwards the write to another home, which counts the commit; the forwarding proxy knows no position before it, so its own lower bound stays one behind. This is the contract of AcknowledgementHold::passed_on (a lower bound; the home reports the rest). Evidence: with the events printed on failure, each failing run shows w1 of vm-1 forwarded to vm-2 (408) and w2 answered at 1.2 by vm-1 itself.

Change: the test waits until vm-1 has learned the primary, asserts that nothing was forwarded, and checks log_end as well. No check is taken out.

--- a/tests/unit/hold_fleet_test.cc
+++ b/tests/unit/hold_fleet_test.cc
@@ -103,14 +103,21 @@
 }
 
 TEST_F(HoldFleetTest, AnswersWithWhatItHasPassedOn) {
+  // A proxy that does not know the primary yet forwards a write to another home.
+  const std::function<bool()> knows_primary = [this] {
+    return !m_fleet.vm(1).Events(EventCode::kTermLearned).empty();
+  };
+  ASSERT_TRUE(m_fleet.RunUntil(knows_primary, Millis(5000)));
   ASSERT_TRUE(m_fleet.Execute(m_fleet.vm(1), {MakeWrite("w1", "a")})[0].ok());
   ASSERT_TRUE(m_fleet.Execute(m_fleet.vm(1), {MakeWrite("w2", "a")})[0].ok());
+  ASSERT_TRUE(m_fleet.vm(1).Events(EventCode::kStatementForwarded).empty());
   const PeerHold hold{"orders", 8};
   const auto answer = Send(m_fleet.vm(1), kPeerHoldPath, EncodeJson(hold));
   const auto reply = DecodeJson<PeerHoldReply>(answer.body);
   ASSERT_TRUE(reply);
   EXPECT_TRUE(reply->held);
   EXPECT_EQ(reply->passed_on, (Position{Term(1), LogIndex(2)}));
+  EXPECT_EQ(reply->log_end, (Position{Term(1), LogIndex(2)}));
   const PeerHold lower{"orders", 7};
   const auto refusal =
       DecodeJson<PeerHoldReply>(Send(m_fleet.vm(1), kPeerHoldPath, EncodeJson(lower)).body);
