Takeovers: a primary that was stopped in vain is kept in the group's row

Cause: a takeover that made the primary step down and then gave up ("a server was listed after the others were stopped") left no trace of it. To the next attempt it was a replica, so the rule that a replica with the whole log of the stopped primary is safe did not apply; and servers that had left are covered only by what a primary reports afterwards, of which there was none any more.

Change: while nothing leads, nothing is acknowledged, so the end of the stopped primary's log covers every other server. An attempt that sends no order writes process, term and log end to the row (StoppedPrimary), after an announcement if a token may be reserved. The next holder uses them only while nothing can have led since, and needs a log that reaches what any proxy passed on. An order, a kept primary, a roster and a reservation take the record out.

--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -36,6 +36,21 @@
 };
 BOOST_DESCRIBE_STRUCT(GroupRoster, (), (servers, covered_by))
 
+// A primary that a takeover stopped without ordering a promotion. Until a server is promoted or
+// this one leads again, the group acknowledges nothing, so no acknowledged commit is after
+// `log_end`.
+struct StoppedPrimary {
+  ServerIncarnation server;
+  // The server had announced that it leaves, so once it is gone it does not lead again.
+  bool leaving = false;
+  // The term that it led.
+  Term term;
+  Position log_end;
+
+  bool operator==(const StoppedPrimary&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(StoppedPrimary, (), (server, leaving, term, log_end))
+
 // A token allocated in advance, for use while the store is unavailable.
 struct TokenReservation {
   std::uint64_t token = 0;
@@ -72,11 +87,21 @@
   std::uint64_t replaced = 0;
   // Not set in a row that was last written by a version without it, or before the first roster.
   std::optional<GroupRoster> roster;
+  // Set if no order of any token can have been accepted since the primary was stopped.
+  std::optional<StoppedPrimary> stopped_primary;
 };
-BOOST_DESCRIBE_STRUCT(
-    FenceRow,
-    (),
-    (token, holder, open, at_ms, reserved, void_below, settled_at_ms, replaced, roster))
+BOOST_DESCRIBE_STRUCT(FenceRow,
+                      (),
+                      (token,
+                       holder,
+                       open,
+                       at_ms,
+                       reserved,
+                       void_below,
+                       settled_at_ms,
+                       replaced,
+                       roster,
+                       stopped_primary))
 
 // The latest roster that the rows of a group hold, which are given from the latest era on. The
 // servers of a reservation of a later era are added to it, and stand for it if there is none.
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -136,6 +136,7 @@
   wanted.servers = snapshot.servers;
   const bool own = row.reserved && HoldsUnusedReservation(group->id(), *row.reserved);
   const auto own_unused = own ? row.reserved : std::nullopt;
+  row.stopped_primary.reset();
   row = AddReservation(std::move(row), std::move(wanted), own_unused);
   const auto written =
       co_await m_fences.Replace(group->id(), *loaded, row, Clock::now() + kStoreTimeout);
@@ -180,7 +181,8 @@
   hold.Start();
   // The store, which could tell of further servers, does not answer.
   const RefreshServers no_refresh;
-  auto choice = co_await StopAndChooseSuccessor(m_context, group, none, stop, hold, no_refresh);
+  auto choice =
+      co_await StopAndChooseSuccessor(m_context, group, none, stop, hold, no_refresh, std::nullopt);
   if (!choice.successor) {
     BackOff(*group, choice.objection + ":" + choice.logs);
     co_return choice;
--- a/src/gateway/roster_keeper.cc
+++ b/src/gateway/roster_keeper.cc
@@ -100,6 +100,8 @@
   }
   auto row = loaded.row;
   row.roster = roster;
+  // A primary leads.
+  row.stopped_primary.reset();
   const auto written =
       co_await m_fences.Replace(group->id(), loaded, row, Clock::now() + kStoreTimeout);
   if (!written || !*written) {
--- a/src/gateway/successor_choice.cc
+++ b/src/gateway/successor_choice.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "async/spawn.h"
 
 namespace cardamom {
@@ -47,6 +49,36 @@
   const TimePoint m_deadline = Clock::now() + kListTimeout;
 };
 
+// What the group's servers reported before and when they were stopped.
+StoppedGroup DescribeGroup(const GroupClient& group,
+                           const ServerStatuses& before,
+                           std::vector<StopResult> servers) {
+  StoppedGroup described;
+  described.servers = std::move(servers);
+  described.newest = group.term();
+  for (const auto& [id, status] : before) {
+    described.newest = std::max(described.newest, status.term);
+    if (status.is_primary) {
+      described.primaries[id] = status.term;
+    }
+  }
+  for (const auto& server : described.servers) {
+    described.newest = std::max(described.newest, server.received.term);
+  }
+  described.listed = group.SnapshotServerList().servers;
+  for (const auto& server : group.Departed()) {
+    const auto& entry = server.endpoint->entry;
+    described.departed.push_back({entry.id, entry.started_ms});
+  }
+  return described;
+}
+
+std::string DescribeStoppedPrimary(const StoppedPrimary& stopped) {
+  return fmt::format("; nothing acknowledged after {}.{}, where {} was stopped",
+                     stopped.log_end.term.value(), stopped.log_end.index.value(),
+                     stopped.server.endpoint.value());
+}
+
 // Whether `servers` names every server that is listed, or was until a moment ago.
 bool WereAllAsked(const GroupClient& group, const std::vector<StopResult>& servers) {
   std::set<EndpointId> asked;
@@ -64,16 +96,27 @@
 
 }  // namespace
 
-asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(GatewayContext& context,
-                                                        std::shared_ptr<GroupClient> group,
-                                                        ServerStatuses statuses,
-                                                        ControlRequest stop,
-                                                        PendingHold hold,
-                                                        RefreshServers refresh_servers) {
-  const auto servers = co_await StopServers(context, group, statuses, stop);
+asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(
+    GatewayContext& context,
+    std::shared_ptr<GroupClient> group,
+    ServerStatuses statuses,
+    ControlRequest stop,
+    PendingHold hold,
+    RefreshServers refresh_servers,
+    std::optional<StoppedPrimary> stopped_before) {
+  auto servers = co_await StopServers(context, group, statuses, stop);
   SuccessorChoice choice;
   choice.stopped_at = Clock::now();
   choice.logs = DescribeStopped(servers);
+  const auto described = DescribeGroup(*group, statuses, servers);
+  choice.stopped_primary = FindStoppedPrimary(described);
+  if (!choice.stopped_primary && stopped_before && IsStillStopped(*stopped_before, described)) {
+    choice.stopped_primary = stopped_before;
+  }
+  if (choice.stopped_primary) {
+    servers = CoverByStoppedPrimary(std::move(servers), *choice.stopped_primary);
+    choice.logs += DescribeStoppedPrimary(*choice.stopped_primary);
+  }
   if (co_await AnyPrimaryWorks(group, servers)) {
     // It keeps acknowledging commits, since it did not obey the stop.
     choice.objection = "the primary works";
@@ -87,8 +130,9 @@
   const auto held = co_await hold.Wait();
   choice.logs += "; " + DescribeHold(held);
   // A server that is not known may hold the last commits if the list is changing, or cannot be
-  // read.
-  const bool may_miss_servers = !refresh_servers || group->SnapshotServerList().changing;
+  // read. A primary that an earlier attempt stopped may have led again unseen.
+  const bool may_miss_servers = !refresh_servers || group->SnapshotServerList().changing ||
+                                (choice.stopped_primary && described.primaries.empty());
   const auto successor = ChooseSuccessor(servers, may_miss_servers ? held.log_end : held.passed_on);
   if (held.refused) {
     choice.objection = "a proxy has seen a greater token";
--- a/src/gateway/successor_choice.h
+++ b/src/gateway/successor_choice.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "failover/stopped_primary.h"
 #include "gateway/server_poll.h"
 #include "gateway/takeover_hold.h"
 
@@ -21,6 +22,9 @@
   // stopped.
   std::string logs;
   TimePoint stopped_at;
+  // The primary that was stopped, now or by an earlier attempt, if it shows where the acknowledged
+  // commits end.
+  std::optional<StoppedPrimary> stopped_primary;
 };
 
 // Reads the server list again. Returns false if the store does not answer.
@@ -30,12 +34,15 @@
 // promote. There is none if a primary works, if no log is known to hold what the proxies have
 // passed on, if a server did not stay stopped, or if one was listed meanwhile, which may hold
 // commits that the others lack. `hold` is started unless no log could be chosen. `refresh_servers`
-// is not called if it is empty. Not thread safe.
-asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(GatewayContext& context,
-                                                        std::shared_ptr<GroupClient> group,
-                                                        ServerStatuses statuses,
-                                                        ControlRequest stop,
-                                                        PendingHold hold,
-                                                        RefreshServers refresh_servers);
+// is not called if it is empty. `stopped_before`: the primary that an earlier attempt stopped, if
+// no order can have been accepted since. Not thread safe.
+asio::awaitable<SuccessorChoice> StopAndChooseSuccessor(
+    GatewayContext& context,
+    std::shared_ptr<GroupClient> group,
+    ServerStatuses statuses,
+    ControlRequest stop,
+    PendingHold hold,
+    RefreshServers refresh_servers,
+    std::optional<StoppedPrimary> stopped_before);
 
 }  // namespace cardamom
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -108,6 +108,10 @@
   claim.roster = loaded->roster;
   claim.outstanding = FindOutstandingOrder(claim.row, loaded->IsHistoryLost(),
                                            OwnUnusedReservation(group, claim.row));
+  if (claim.outstanding == OutstandingOrder::kNone) {
+    claim.stopped_primary = claim.row.stopped_primary;
+  }
+  claim.row.stopped_primary = claim.stopped_primary;
   ++claim.row.token;
   claim.row.holder = self;
   claim.row.at_ms = loaded->now_ms;
@@ -169,9 +173,11 @@
                                                     Claim& claim,
                                                     bool outstanding) {
   const bool announced = claim.announced;
-  const auto change = [outstanding, announced](FenceRow row, std::int64_t /*now_ms*/) {
+  const auto stopped = outstanding ? std::nullopt : claim.stopped_primary;
+  const auto change = [outstanding, announced, stopped](FenceRow row, std::int64_t /*now_ms*/) {
     row.open = outstanding;
     row.void_below = announced ? row.token : row.void_below;
+    row.stopped_primary = stopped;
     return row;
   };
   co_return co_await UpdateRow(group, claim, change);
@@ -283,7 +289,8 @@
                                                       EndpointId primary,
                                                       ServerStatuses statuses) {
   Log(EventCode::kPromotionFailed, *group, primary.value() + " is the primary");
-  if (claim.row.open) {
+  claim.stopped_primary.reset();
+  if (claim.row.open || claim.row.stopped_primary) {
     co_await SetOrderOutstanding(*group, claim, false);
   }
   if (IsAnyPaused(statuses)) {
@@ -311,6 +318,7 @@
   Log(EventCode::kPromotionFailed, *group, reason);
   const bool valid = BootClock::now() <= claim.valid_until;
   co_await Resume(group, claim, std::nullopt);
+  co_await ConfirmStoppedPrimary(*group, claim);
   const bool closed = co_await SetOrderOutstanding(*group, claim, false);
   if (!closed || !valid) {
     co_return TakeoverResult::kUnfinished;
@@ -318,6 +326,21 @@
   co_return TakeoverResult::kBackedOff;
 }
 
+asio::awaitable<void> Takeover::ConfirmStoppedPrimary(const GroupClient& group, Claim& claim) {
+  if (!claim.stopped_primary || claim.announced) {
+    co_return;
+  }
+  auto row = claim.row;
+  row.open = false;
+  if (FindOutstandingOrder(row, false, std::nullopt) == OutstandingOrder::kNone) {
+    co_return;
+  }
+  const bool announced = co_await AnnounceToken(group, claim);
+  if (!announced) {
+    claim.stopped_primary.reset();
+  }
+}
+
 asio::awaitable<TakeoverResult> Takeover::Promote(std::shared_ptr<GroupClient> group,
                                                   TakeoverReason reason,
                                                   ServerStatuses statuses,
@@ -343,8 +366,9 @@
     hold.Start();
   }
   const ControlRequest stop{.term = stop_at, .valid_until = claim.valid_until};
-  const auto choice =
-      co_await StopAndChooseSuccessor(m_context, group, statuses, stop, hold, m_refresh_servers);
+  const auto choice = co_await StopAndChooseSuccessor(m_context, group, statuses, stop, hold,
+                                                      m_refresh_servers, claim.stopped_primary);
+  claim.stopped_primary = choice.stopped_primary;
   if (!choice.successor) {
     const auto result = co_await GiveUp(group, claim, choice.objection + ":" + choice.logs);
     if (hold.IsStarted() && result == TakeoverResult::kBackedOff) {
@@ -355,9 +379,11 @@
   if (BootClock::now() > claim.valid_until) {
     Log(EventCode::kPromotionFailed, *group, "the token's validity has ended:" + choice.logs,
         stop_at);
+    co_await ConfirmStoppedPrimary(*group, claim);
     co_await SetOrderOutstanding(*group, claim, false);
     co_return TakeoverResult::kUnfinished;
   }
+  claim.stopped_primary.reset();
   const auto ordered =
       co_await m_order(group->id().value(), choice.successor->value(), claim.row.holder,
                        claim.row.token, Clock::now() + kOrderTimeout);
@@ -369,6 +395,8 @@
                   ToMillis(Clock::now() - choice.stopped_at).count(), choice.logs),
       stop_at);
   if (IsRefused(ordered)) {
+    claim.stopped_primary = choice.stopped_primary;
+    co_await ConfirmStoppedPrimary(*group, claim);
     co_await SetOrderOutstanding(*group, claim, false);
     ReleaseUnchanged(*group, claim, leading);
   }
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -54,6 +54,8 @@
     FenceRow row;
     std::optional<GroupRoster> roster;
     OutstandingOrder outstanding = OutstandingOrder::kNone;
+    // The primary that this attempt or an earlier one stopped, if no order has been sent since.
+    std::optional<StoppedPrimary> stopped_primary;
     // The platform has seen the token.
     bool announced = false;
     // No order and no resume is sent after this time.
@@ -82,7 +84,8 @@
   asio::awaitable<bool> UpdateRow(const GroupClient& group,
                                   Claim& claim,
                                   std::function<FenceRow(FenceRow, std::int64_t)> change);
-  // Writes to the group's fence row whether an order may be outstanding; errors as UpdateRow.
+  // Writes to the group's fence row whether an order may be outstanding and, unless one may, which
+  // primary was stopped; errors as UpdateRow.
   asio::awaitable<bool> SetOrderOutstanding(const GroupClient& group,
                                             Claim& claim,
                                             bool outstanding);
@@ -107,6 +110,9 @@
   asio::awaitable<TakeoverResult> GiveUp(std::shared_ptr<GroupClient> group,
                                          Claim claim,
                                          std::string reason);
+  // Keeps `claim.stopped_primary` only if no order can be accepted any more, which takes an
+  // announcement if a token is reserved.
+  asio::awaitable<void> ConfirmStoppedPrimary(const GroupClient& group, Claim& claim);
   // Ends the hold of an attempt that sent no order, or whose order was refused, and holds with
   // lower tokens. `leading`: the greatest term of a primary of the group. Precondition: no order is
   // outstanding.
--- a/tests/unit/takeover_attempt.cc
+++ b/tests/unit/takeover_attempt.cc
@@ -68,6 +68,11 @@
   ++m_row.token;
   m_row.holder = Name();
   m_row.at_ms = m_loaded.now_ms;
+  m_stopped_primary.reset();
+  if (FindOutstanding() == OutstandingOrder::kNone) {
+    m_stopped_primary = m_row.stopped_primary;
+  }
+  m_row.stopped_primary = m_stopped_primary;
   if (!m_store.Replace(m_loaded, m_row)) {
     return Finish("no claim");
   }
@@ -75,6 +80,7 @@
                 m_row.open ? "open" : "closed", m_history_lost ? " (history lost)" : "",
                 m_group.Describe());
   m_announced = false;
+  m_announces_to_close = false;
   m_reserved = false;
   if (!m_store.available()) {
     return Finish("the list was not refreshed");
@@ -114,6 +120,10 @@
     Send(Operation::kStatus, ListedServers(), Term());
     return Enter(Stage::kSurveyAgain, 0);
   }
+  if (!IsValid() && m_announces_to_close) {
+    m_stopped_primary.reset();
+    return BeginUpdate(Update::kClose);
+  }
   if (!IsValid()) {
     return Finish("no announcement while the claim was valid");
   }
@@ -125,6 +135,9 @@
 void Proxy::InspectAnnouncement() {
   if (m_platform.Answer(m_order)) {
     m_announced = true;
+    if (m_announces_to_close) {
+      return BeginUpdate(Update::kClose);
+    }
     Send(Operation::kStatus, ListedServers(), Term());
     return Enter(Stage::kSurveyAgain, 0);
   }
@@ -189,6 +202,10 @@
   if (m_update == Update::kSettle) {
     m_row.settled_at_ms = m_loaded.now_ms + kPromotionTime.count();
   }
+  m_row.stopped_primary.reset();
+  if (m_update == Update::kClose && !m_world.IsDisabled(Rule::kStoppedPrimary)) {
+    m_row.stopped_primary = m_stopped_primary;
+  }
   AfterUpdate(m_store.Replace(m_loaded, m_row));
 }
 
@@ -240,7 +257,7 @@
   if (HasHold() && m_fleet.IsRefused(m_index)) {
     return Finish("the hold was refused");
   }
-  auto results = StopResults();
+  auto results = CoverDeparted(StopResults());
   bool works = false;
   std::string logs;
   for (const auto& result : results) {
@@ -262,6 +279,10 @@
       m_base = result.received;
     }
   }
+  if (successor && m_world.options().abandoned_stops && m_world.PickForFleet(2) == 0) {
+    m_world.Trace("{} abandons the attempt", Name());
+    successor.reset();
+  }
   if (successor && !IsHeldBy(m_base)) {
     m_world.Trace("{} needs a longer log", Name());
     successor.reset();
@@ -272,7 +293,7 @@
   }
   if (!successor) {
     m_resume_after_update = true;
-    return BeginUpdate(Update::kClose);
+    return ConfirmStoppedPrimary();
   }
   m_successor = ServerOf(*successor);
   if (m_world.IsDisabled(Rule::kMarkBeforeStopping) && !m_reserved) {
@@ -286,7 +307,9 @@
     return Finish("the claim expired before the order");
   }
   m_order = m_platform.Order(m_successor, Token());
-  ++m_orders_sent;
+  if (++m_orders_sent == 1) {
+    m_stopped_before_order = std::exchange(m_stopped_primary, std::nullopt);
+  }
   m_world.Trace("{} orders s{} with token {}", Name(), m_successor, Token());
   m_deadline = m_world.now() + kOrderTimeout;
   Enter(Stage::kOrder, 0);
@@ -306,8 +329,11 @@
     return Enter(Stage::kWaitForPrimary, 0);
   }
   m_order_refused = m_orders_sent == 1 || m_world.IsDisabled(Rule::kRefusalOfEachCopy);
+  if (m_order_refused) {
+    m_stopped_primary = m_stopped_before_order;
+  }
   if (!m_reserved) {
-    return BeginUpdate(Update::kClose);
+    return ConfirmStoppedPrimary();
   }
   m_order_refused ? FinishAsKept("rejected") : Finish("rejected");
 }
--- a/tests/unit/takeover_hold.cc
+++ b/tests/unit/takeover_hold.cc
@@ -75,7 +75,7 @@
   const bool answered = m_fleet.HasAllAnswers(m_index) || !m_world.options().needs_all_proxies;
   const auto reported = m_fleet.HighestReported(m_index);
   const bool needs_log_end =
-      m_world.options().needs_log_end ||
+      m_world.options().needs_log_end || m_stopped_earlier ||
       (m_reserved && !m_world.IsDisabled(Rule::kReservedNeedsLogEnd)) ||
       (SnapshotServerList().changing && !m_world.IsDisabled(Rule::kChangingListNeedsLogEnd));
   return answered && (m_world.IsDisabled(Rule::kReportedPosition) ||
--- a/tests/unit/takeover_model_test.cc
+++ b/tests/unit/takeover_model_test.cc
@@ -77,6 +77,12 @@
   return options;
 }
 
+// Holders often stop the primary and promote nobody.
+constexpr WalkOptions WithAbandonedStops(WalkOptions options) {
+  options.abandoned_stops = true;
+  return options;
+}
+
 // Servers join, restart and stay unlisted at any moment, beside all other disruptions.
 constexpr WalkOptions WithServersThatAppear(WalkOptions options) {
   options.restarts_while_paused = true;
@@ -139,10 +145,10 @@
   std::uint64_t restores = 0;
 };
 
-Progress MeasureProgress(WalkOptions options) {
+Progress MeasureProgress(WalkOptions options, Rule off = Rule::kNone) {
   Progress progress;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    Walk walk(seed, Rule::kNone, options);
+    Walk walk(seed, off, options);
     walk.Run();
     progress.promoted += walk.promoted();
     progress.promoted_in_outage += walk.promoted_in_outage();
@@ -269,6 +275,13 @@
   ExpectNoLostCommit(WithFleetRestarts(kWithLogLosses));
 }
 
+// Guards against commits that a primary acknowledged after it was stopped by a takeover that
+// promoted nobody, or that a server which led later acknowledged.
+TEST(TakeoverModelTest, NoAcknowledgedCommitIsEverLostByHoldersThatAbandonTheirAttempts) {
+  ExpectNoLostCommit(WithAbandonedStops(kWithMembershipChanges));
+  ExpectNoLostCommit(WithAbandonedStops(WithFleetRestarts(kWithMembershipChanges)));
+}
+
 TEST(TakeoverModelTest, TheWalksPromoteWithAndWithoutTheStore) {
   const auto progress = MeasureProgress(kWithCuts);
   EXPECT_GT(progress.promoted, 200);
@@ -291,6 +304,13 @@
   EXPECT_GT(MeasureProgress(WithFleetRestarts(kWithMembershipChanges)).promoted, 100);
 }
 
+// Guards against a database that stays without a primary once one was stopped in vain.
+TEST(TakeoverModelTest, TheWalksPromoteMoreWithTheRecordOfAStoppedPrimary) {
+  const auto options = WithAbandonedStops(kWithMembershipChanges);
+  EXPECT_GT(MeasureProgress(options).promoted,
+            MeasureProgress(options, Rule::kStoppedPrimary).promoted);
+}
+
 struct RuleCase {
   Rule rule = Rule::kNone;
   WalkOptions options;
--- a/tests/unit/takeover_proxy.cc
+++ b/tests/unit/takeover_proxy.cc
@@ -323,6 +323,7 @@
   const auto own_unused = m_world.IsDisabled(Rule::kReplacedReservation)
                               ? m_reserve_loaded.row.reserved
                               : OwnUnusedReservation();
+  row.stopped_primary.reset();
   row =
       AddReservation(std::move(row),
                      {0, Name(), m_reserve_status->term, SnapshotServerList().servers}, own_unused);
--- a/tests/unit/takeover_proxy.h
+++ b/tests/unit/takeover_proxy.h
@@ -13,6 +13,7 @@
 
 #include "failover/fence_row.h"
 #include "failover/outage_rules.h"
+#include "failover/stopped_primary.h"
 #include "failover/successor.h"
 #include "takeover_fleet.h"
 #include "takeover_group.h"
@@ -137,6 +138,9 @@
   void Stop();
   void Pause();
   std::vector<StopResult> StopResults() const;
+  // `results` with what the primary shows that this attempt or an earlier one stopped.
+  std::vector<StopResult> CoverDeparted(std::vector<StopResult> results);
+  void ConfirmStoppedPrimary();
   void InspectStop();
   void ReadListAgain();
   bool ListsUnaskedServer() const;
@@ -198,6 +202,8 @@
   FenceRow m_row;
   bool m_history_lost = false;
   bool m_announced = false;
+  // The announcement is made to close the row.
+  bool m_announces_to_close = false;
   Update m_update = Update::kMark;
   bool m_resume_after_update = false;
   std::vector<std::pair<int, ServerStatus>> m_survey;
@@ -212,6 +218,11 @@
   int m_order = 0;
   int m_orders_sent = 0;
   bool m_order_refused = false;
+  // The primary that this attempt or an earlier one stopped, and the same before the order.
+  std::optional<StoppedPrimary> m_stopped_primary;
+  std::optional<StoppedPrimary> m_stopped_before_order;
+  // The holder relies on a primary that an earlier attempt stopped.
+  bool m_stopped_earlier = false;
 
   bool m_reserved = false;
   std::optional<TokenReservation> m_reservation;
--- a/tests/unit/takeover_roster.cc
+++ b/tests/unit/takeover_roster.cc
@@ -29,6 +29,7 @@
   m_survey.clear();
   m_stepped_down.clear();
   m_resume_after_update = false;
+  m_stopped_primary.reset();
   m_reserved = false;
   m_reservation.reset();
   m_reserve_stage = ReserveStage::kIdle;
@@ -117,6 +118,7 @@
   }
   auto row = loaded.row;
   row.roster = MakeRoster();
+  row.stopped_primary.reset();
   const bool may_write = !loaded.history_lost && !row.open &&
                          DecideClaim(loaded, "") == FenceClaim::kClaim &&
                          row.roster != loaded.row.roster && IsSupported(*row.roster);
--- a/tests/unit/takeover_stop.cc
+++ b/tests/unit/takeover_stop.cc
@@ -106,4 +106,51 @@
   return results;
 }
 
+std::vector<StopResult> Proxy::CoverDeparted(std::vector<StopResult> results) {
+  m_stopped_earlier = false;
+  if (m_reserved) {
+    return results;
+  }
+  StoppedGroup group;
+  group.servers = results;
+  group.newest = m_term;
+  for (const auto& [i, status] : m_survey) {
+    group.newest = std::max(group.newest, status.term);
+    if (status.is_primary) {
+      group.primaries[IdOf(i)] = status.term;
+    }
+  }
+  for (const auto& result : results) {
+    group.newest = std::max(group.newest, result.received.term);
+  }
+  group.listed = SnapshotServerList().servers;
+  for (const auto& departed : m_departed) {
+    group.departed.push_back({IdOf(departed.server), departed.started_ms});
+  }
+  const bool is_still_stopped = m_stopped_primary && IsStillStopped(*m_stopped_primary, group);
+  const auto stopped = FindStoppedPrimary(group);
+  m_stopped_earlier = !stopped && is_still_stopped;
+  m_stopped_primary = stopped ? stopped : is_still_stopped ? m_stopped_primary : std::nullopt;
+  if (!m_stopped_primary) {
+    return results;
+  }
+  m_world.Trace("{} takes {}.{}, where {} was stopped{}, for the end", Name(),
+                m_stopped_primary->log_end.term.value(), m_stopped_primary->log_end.index.value(),
+                m_stopped_primary->server.endpoint.value(), m_stopped_earlier ? " earlier" : "");
+  return CoverByStoppedPrimary(std::move(results), *m_stopped_primary);
+}
+
+// Closes the row, which names the stopped primary only if no order can be accepted any more.
+void Proxy::ConfirmStoppedPrimary() {
+  auto row = m_row;
+  row.open = false;
+  const bool is_void =
+      m_announced || FindOutstandingOrder(row, false, std::nullopt) == OutstandingOrder::kNone;
+  if (!m_stopped_primary || is_void || m_world.IsDisabled(Rule::kStoppedPrimary)) {
+    return BeginUpdate(Update::kClose);
+  }
+  m_announces_to_close = true;
+  Announce();
+}
+
 }  // namespace cardamom::takeover_model
--- a/tests/unit/takeover_world.h
+++ b/tests/unit/takeover_world.h
@@ -73,6 +73,9 @@
   kRosterIsKept,
   // Takeovers add no servers to the roster.
   kTakeoversRecordServers,
+  // An attempt that stopped the primary and promoted nobody leaves no trace of it. Only progress
+  // suffers.
+  kStoppedPrimary,
 };
 
 // What can happen in a walk beyond crashes of the primary, outages of the store and orders whose
@@ -132,6 +135,8 @@
   bool concurrent_commits = false;
   // Holders end their attempts between any two steps without a trace.
   bool holder_deaths = false;
+  // Holders often stop the servers and send no order.
+  bool abandoned_stops = false;
   // All proxies end at the same moment and start again, without memory.
   bool fleet_restarts = false;
 };
