--- a/src/failover/stopped_primary.cc
+++ b/src/failover/stopped_primary.cc
@@ -18,7 +18,8 @@
   if (group.primaries.size() != 1) {
     return std::nullopt;
   }
-  const auto& [id, term] = *group.primaries.begin();
+  const auto& id = group.primaries.begin()->first;
+  const auto term = group.primaries.begin()->second;
   const auto* incarnation = FindIncarnation(group.listed, id);
   const auto stopped =
       std::find_if(group.servers.begin(), group.servers.end(), [&](const StopResult& server) {
