Stutter tests: the message has the logs of a gateway that ended; KNOWN-RED

The fixture removes the logs, so the cause is not known. Suspected: FreeAddresses gives ports that are free when it looks, and another process may listen there before the gateway does.

Change: the message has the last part of each gateway's log.

--- a/tests/process/stutter_fleet.cc
+++ b/tests/process/stutter_fleet.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 #include <fmt/format.h>
@@ -42,6 +44,18 @@
   return false;
 }
 
+// The last part of each log, which says why a gateway has ended.
+std::string LogTails(const std::vector<std::string>& paths) {
+  constexpr std::size_t kTailBytes = 1000;
+  std::string tails;
+  for (const auto& path : paths) {
+    std::ifstream log(path);
+    const std::string text{std::istreambuf_iterator<char>(log), {}};
+    tails += text.substr(text.size() - std::min(text.size(), kTailBytes)) + "\n";
+  }
+  return tails;
+}
+
 }  // namespace
 
 Fleet::Fleet(const FleetOptions& options, Journal& journal) {
@@ -85,7 +99,9 @@
       while (!Answers(gateway, database)) {
         if (Clock::now() > deadline) {
           const char* state = AllRun() ? "all run" : "one has ended";
-          throw std::runtime_error(fmt::format("a gateway does not answer, {}", state));
+          throw std::runtime_error(
+              fmt::format("a gateway does not answer, {}; the last of each log:\n{}", state,
+                          LogTails(m_log_paths)));
         }
         std::this_thread::sleep_for(kRetryDelay);
       }
