HoldFleetTest: all proxies know the primary before a test begins

Cause: the test, by the same gap as AnswersWithWhatItHasPassedOn. Evidence, with the events printed on failure: vm-0, which the test cuts off from the primary, had no 306 by then (vm-1 and vm-2 had) and suspects "primary unknown"; each attempt ends with "no safe successor: e0 (not stopped)", as a server that it never saw lead counts as a replica that did not answer. That rule is right; the test means a proxy that lost its primary.

Change: the fixture waits until every proxy has learned the primary, in place of the wait of one test. No check is taken out.

--- a/tests/unit/hold_fleet_test.cc
+++ b/tests/unit/hold_fleet_test.cc
@@ -12,7 +12,20 @@
 
 class HoldFleetTest : public ::testing::Test {
  protected:
-  HoldFleetTest() { m_fleet.Configure(2, Millis(2000)); }
+  // Every proxy knows the primary: one that does not forwards writes to another home, and takes a
+  // primary that it never reached for a replica.
+  HoldFleetTest() {
+    m_fleet.Configure(2, Millis(2000));
+    const std::function<bool()> all_know_primary = [this] {
+      for (std::size_t i = 0; i < m_fleet.size(); ++i) {
+        if (m_fleet.vm(i).Events(EventCode::kTermLearned).empty()) {
+          return false;
+        }
+      }
+      return true;
+    };
+    EXPECT_TRUE(m_fleet.RunUntil(all_know_primary, Millis(5000)));
+  }
 
   // Cuts vm-0 off from the primary, so that it replaces it.
   void CutOffFirstProxy() { m_fleet.vm(0).unreachable_servers.insert(EndpointId("e0")); }
@@ -103,11 +116,6 @@
 }
 
 TEST_F(HoldFleetTest, AnswersWithWhatItHasPassedOn) {
-  // A proxy that does not know the primary yet forwards a write to another home.
-  const std::function<bool()> knows_primary = [this] {
-    return !m_fleet.vm(1).Events(EventCode::kTermLearned).empty();
-  };
-  ASSERT_TRUE(m_fleet.RunUntil(knows_primary, Millis(5000)));
   ASSERT_TRUE(m_fleet.Execute(m_fleet.vm(1), {MakeWrite("w1", "a")})[0].ok());
   ASSERT_TRUE(m_fleet.Execute(m_fleet.vm(1), {MakeWrite("w2", "a")})[0].ok());
   ASSERT_TRUE(m_fleet.vm(1).Events(EventCode::kStatementForwarded).empty());
