Takeover events tell who answered, when, on which link and by which list

Cause: the record of a lost commit could not tell its hypotheses apart. The line of an order named logs, but not the processes, links and times behind them, nor the list of servers; nothing showed what a proxy passed on last, or that an unanswered order may be carried out late.

Change, log lines only: - 309, 310 and 305: for each server the start of its process, the age of the link that answered and when, or why it counts as covered or missing; the list of servers before and at the choice, with version and age; what the repeated stop showed; when the proxies were asked, which ones refused the connection or the token. 310 of a reserved token has the same parts. - 310: when the order was sent after the logs (it included the wait for the answer before), how long its answer took, and "outcome unknown" or "not carried out" without one. - 303: start of the process and token. 306 and 311: the greatest token seen and whether acknowledgements are held back. - 314: term, both reported positions, the last commit passed on, the hold before. 315: how many that waited were passed on or ended in doubt, and the last commit passed on. - 408 has the position; a commit that a forwarding proxy holds and gives up is now logged there (401). - 502 and 503: start and role, and why a server was dropped.

--- a/src/failover/acknowledgement_hold.h
+++ b/src/failover/acknowledgement_hold.h
@@ -84,6 +84,8 @@
   Position log_end() const { return m_log_end; }
   // `position`, or the end of the log that later promotions left of it.
   Position StandingPart(Position position) const;
+  // Commits of earlier terms are in doubt unless a promotion covers them.
+  Term confirmed_term() const { return m_confirmed_term; }
   // The greatest token seen.
   std::uint64_t token() const { return m_token; }
 
--- a/src/failover/successor.h
+++ b/src/failover/successor.h
@@ -1,13 +1,28 @@
 // Chooses the next primary on a platform that carries out promotion orders.
 #pragma once
 
+#include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "cardamom/strong.h"
+#include "core/clock.h"
 
 namespace cardamom {
 
+// Where a StopResult comes from, for log lines: no decision rests on it. A value type.
+struct StopTrace {
+  // Start of the listed process in Unix milliseconds.
+  std::int64_t started_ms = 0;
+  // When the link was opened on which the server answered, and when the answer arrived; not set if
+  // it gave none.
+  std::optional<TimePoint> link_opened_at;
+  std::optional<TimePoint> answered_at;
+  // Why the server counts as it does, if it did not answer for itself.
+  std::string cause;
+};
+
 // The result of stopping a server: a stopped one receives no more entries of the old term, since
 // the primary stepped down or the replica was paused.
 struct StopResult {
@@ -24,6 +39,7 @@
   std::optional<Position> covered_by;
   // Last entry of the server's log; valid only if `stopped`.
   Position received;
+  StopTrace trace;
 };
 
 // Returns the server to promote, which is known to hold every acknowledged commit, or nothing if
--- a/src/fleet/hold_peers.cc
+++ b/src/fleet/hold_peers.cc
@@ -43,13 +43,20 @@
   if (reply) {
     ++report.answered;
     report.refused = report.refused || !reply->held;
+    if (!reply->held) {
+      report.refused_by.push_back(vm.id.value());
+    }
     // The proxy may have missed a promotion that lost what it has passed on.
     const auto& hold = m_context.acknowledgements.Of(GroupId(message.group)).hold();
     report.passed_on = std::max(report.passed_on, hold.StandingPart(reply->passed_on));
     report.log_end = std::max(report.log_end, hold.StandingPart(reply->log_end));
   }
   // Where the connection is refused, no process runs that could pass anything on.
-  if (reply || (!answer && answer.error().code == ResultCode::kConnectionRefused)) {
+  const bool is_refused = !answer && answer.error().code == ResultCode::kConnectionRefused;
+  if (is_refused) {
+    report.not_running.push_back(vm.id.value());
+  }
+  if (reply || is_refused) {
     std::erase(report.silent, vm.id.value());
   }
   survey->awaited.erase(vm.id);
@@ -60,10 +67,12 @@
   auto& gate = m_context.acknowledgements.Of(group);
   const auto survey = std::make_shared<Survey>();
   survey->report.answered = 1;
+  survey->report.asked_at = survey->report.complete_at = Clock::now();
   survey->report.refused = !gate.Hold(token);
   survey->report.passed_on = gate.hold().passed_on();
   survey->report.log_end = gate.hold().log_end();
   if (survey->report.refused) {
+    survey->report.refused_by.push_back(m_fleet.self().id.value());
     co_return survey->report;
   }
   const auto deadline = Clock::now() + kHoldTimeout;
@@ -79,6 +88,7 @@
   }
   const std::function<bool()> done = [survey] { return survey->awaited.empty(); };
   co_await survey->changed.WaitUntil(done, deadline);
+  survey->report.complete_at = Clock::now();
   co_return survey->report;
 }
 
--- a/src/fleet/remote_path.cc
+++ b/src/fleet/remote_path.cc
@@ -29,6 +29,13 @@
   return "";
 }
 
+std::string DescribePosition(const ForwardResult& result) {
+  const auto& position = result.reply.position;
+  return result.status == ForwardStatus::kAnswered && position
+             ? fmt::format(" at {}.{}", position->term.value(), position->index.value())
+             : "";
+}
+
 void LogForwarding(GatewayContext& context,
                    const GroupId& group,
                    const StatementTask& task,
@@ -38,9 +45,9 @@
       EventCode::kStatementForwarded,
       {.group = group,
        .request = task.statement.id.value(),
-       .detail = fmt::format("to {}: {}{}{} in {} ms", result.home, NameOf(result.status),
+       .detail = fmt::format("to {}: {}{}{}{} in {} ms", result.home, NameOf(result.status),
                              result.reason.empty() ? "" : ", ", result.reason,
-                             ToMillis(elapsed).count())});
+                             DescribePosition(result), ToMillis(elapsed).count())});
   if (result.status != ForwardStatus::kAnswered) {
     context.metrics.CountStatement(result.status == ForwardStatus::kNotRun ? "refused" : "unknown",
                                    elapsed);
@@ -56,16 +63,24 @@
 // but a takeover may reach this proxy and not the home.
 asio::awaitable<Reply> PassOn(GatewayContext& context,
                               GroupId group,
-                              TimePoint deadline,
+                              StatementTask task,
                               Reply reply) {
   if (!reply.ok() || !reply.position) {
     co_return reply;
   }
   const AcknowledgedCommit commit{{}, *reply.position};
-  const bool passed = co_await context.acknowledgements.Of(group).PassOn(commit, deadline);
+  const bool passed = co_await context.acknowledgements.Of(group).PassOn(commit, task.deadline);
   if (passed) {
     co_return reply;
   }
+  const auto elapsed = Clock::now() - task.received_at;
+  context.events.Emit(
+      EventCode::kOutcomeUnknown,
+      {.group = group,
+       .request = task.statement.id.value(),
+       .detail = fmt::format("the primary was replaced, answer of a home at {}.{} after {} ms",
+                             reply.position->term.value(), reply.position->index.value(),
+                             ToMillis(elapsed).count())});
   co_return ErrorReply(StatementError::kInDoubt, "the primary was replaced", SessionState::kIdle);
 }
 
@@ -106,7 +121,7 @@
       if (!m_wrote) {
         co_return reply;
       }
-      co_return co_await PassOn(m_context, m_group, task.deadline, std::move(reply));
+      co_return co_await PassOn(m_context, m_group, task, std::move(reply));
     }
     if (result.status == ForwardStatus::kNotRun || !m_wrote) {
       co_return Refusal(StatementError::kAborted, result, SessionState::kIdle);
@@ -182,7 +197,7 @@
   switch (result.status) {
     case ForwardStatus::kAnswered: {
       auto reply = FromMessage(std::move(result.reply));
-      co_return co_await PassOn(m_context, m_group, task.deadline, std::move(reply));
+      co_return co_await PassOn(m_context, m_group, task, std::move(reply));
     }
     case ForwardStatus::kNotRun:
       co_return Refusal(StatementError::kBusy, result, SessionState::kIdle);
--- a/src/gateway/acknowledgement_gate.cc
+++ b/src/gateway/acknowledgement_gate.cc
@@ -12,35 +12,43 @@
 // be refused.
 constexpr Millis kExpectedHold{2500};
 
+std::string ToText(Position position) {
+  return fmt::format("{}.{}", position.term.value(), position.index.value());
+}
+
 }  // namespace
 
 AcknowledgementGate::AcknowledgementGate(EventLog& events, GroupId group)
     : m_events(events), m_group(std::move(group)) {}
 
 bool AcknowledgementGate::Hold(std::uint64_t token) {
+  const auto before = Describe();
   if (!m_hold.Hold(token, BootClock::now())) {
     return false;
   }
-  const auto position = m_hold.passed_on();
   m_events.Emit(EventCode::kAcknowledgementsHeld,
                 {.group = m_group,
-                 .detail = fmt::format("token {}; passed on up to {}.{}", token,
-                                       position.term.value(), position.index.value())});
+                 .term = m_hold.confirmed_term(),
+                 .detail = fmt::format("token {}; passed on up to {}, log end {}; {}; before: {}",
+                                       token, ToText(m_hold.passed_on()), ToText(m_hold.log_end()),
+                                       DescribeLast(), before)});
   return true;
 }
 
 bool AcknowledgementGate::Release(const HoldRelease& release) {
+  const auto before = Describe();
+  const auto last = DescribeLast();
   if (!m_hold.Release(release)) {
     return false;
   }
-  const auto outcome = release.base ? fmt::format("promoted from {}.{}", release.base->term.value(),
-                                                  release.base->index.value())
-                                    : std::string("nobody promoted");
-  m_events.Emit(
-      EventCode::kAcknowledgementsReleased,
-      {.group = m_group,
-       .term = release.term,
-       .detail = fmt::format("token {}, {}; {} waited", release.token, outcome, m_waiting)});
+  const auto outcome =
+      release.base ? "promoted from " + ToText(*release.base) : std::string("nobody promoted");
+  m_events.Emit(EventCode::kAcknowledgementsReleased,
+                {.group = m_group,
+                 .term = release.term,
+                 .detail = fmt::format("token {}, {}; {}; {}; before: {}", release.token, outcome,
+                                       DescribeWaiting(), last, before)});
+  m_given_up = 0;
   m_changed.NotifyAll();
   return true;
 }
@@ -53,19 +61,64 @@
     // A hold that ends by itself notifies nobody.
     const auto left = *m_hold.HeldUntil() - BootClock::now();
     const std::function<bool()> is_open = [this] { return !m_hold.IsHeld(BootClock::now()); };
-    ++m_waiting;
+    const auto waiting = m_waiting.insert(m_waiting.end(), commit);
     co_await m_changed.WaitUntil(
         is_open, std::min(deadline, Clock::now() + std::chrono::ceil<Millis>(left)));
-    --m_waiting;
+    m_waiting.erase(waiting);
     verdict = m_hold.Judge(commit, has_waited, BootClock::now());
   }
+  if (verdict == AcknowledgementVerdict::kWait) {
+    ++m_given_up;
+  }
   if (verdict != AcknowledgementVerdict::kPassOn) {
     co_return false;
   }
   m_hold.OnPassedOn(commit);
+  ++m_passed_on;
+  m_last = commit;
+  m_last_at = Clock::now();
   co_return true;
 }
 
+std::string AcknowledgementGate::Describe() const {
+  const auto now = BootClock::now();
+  if (m_hold.token() == 0) {
+    return "no token seen";
+  }
+  const auto held_for = [&] { return now - (*m_hold.HeldUntil() - kLongestHold); };
+  if (!m_hold.HeldUntil()) {
+    return fmt::format("token {} released", m_hold.token());
+  }
+  return fmt::format("token {} held for {} ms{}", m_hold.token(), ToMillis(held_for()).count(),
+                     m_hold.IsHeld(now) ? "" : ", ended by itself");
+}
+
+std::string AcknowledgementGate::DescribeLast() const {
+  if (m_passed_on == 0) {
+    return "none passed on";
+  }
+  return fmt::format("last of {} passed on {} ms ago, from {} to {}", m_passed_on,
+                     ToMillis(Clock::now() - m_last_at).count(), ToText(m_last.at_least),
+                     ToText(m_last.at_most));
+}
+
+std::string AcknowledgementGate::DescribeWaiting() const {
+  std::size_t stand = 0;
+  Position last;
+  for (const auto& commit : m_waiting) {
+    const bool passes =
+        m_hold.Judge(commit, true, BootClock::now()) == AcknowledgementVerdict::kPassOn;
+    stand += passes ? 1 : 0;
+    last = std::max(last, commit.at_most);
+  }
+  auto text = fmt::format("{} waited: {} passed on, {} in doubt", m_waiting.size(), stand,
+                          m_waiting.size() - stand);
+  if (!m_waiting.empty()) {
+    text += ", up to " + ToText(last);
+  }
+  return text + (m_given_up > 0 ? fmt::format("; {} in doubt before", m_given_up) : "");
+}
+
 asio::awaitable<bool> AcknowledgementGate::WaitUntilOpen(TimePoint deadline) {
   const std::function<bool()> is_open = [this] { return !m_hold.IsHeld(BootClock::now()); };
   if (is_open()) {
--- a/src/gateway/acknowledgement_gate.h
+++ b/src/gateway/acknowledgement_gate.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
+#include <string>
 
 #include "async/notifier.h"
 #include "events/event_log.h"
@@ -23,6 +26,8 @@
   bool Hold(std::uint64_t token);
   bool Release(const HoldRelease& release);
   const AcknowledgementHold& hold() const { return m_hold; }
+  // The greatest token seen and whether acknowledgements are held back, for a log line.
+  std::string Describe() const;
 
   // Waits while acknowledgements are held back. Returns false if the commit may be missing in the
   // log of the present primary, or the hold has not ended by `deadline`: the outcome of the
@@ -35,10 +40,22 @@
   asio::awaitable<bool> WaitUntilOpen(TimePoint deadline);
 
  private:
+  // The acknowledgement that was passed on last.
+  std::string DescribeLast() const;
+  // How the acknowledgements that wait are judged now that the hold has ended.
+  std::string DescribeWaiting() const;
+
   EventLog& m_events;
   const GroupId m_group;
   AcknowledgementHold m_hold;
-  std::size_t m_waiting = 0;
+  // The acknowledgements that wait.
+  std::list<AcknowledgedCommit> m_waiting;
+  // How many have been passed on, which one last and when, and how many were given up while they
+  // were held, all for log lines.
+  std::uint64_t m_passed_on = 0;
+  AcknowledgedCommit m_last;
+  TimePoint m_last_at;
+  std::size_t m_given_up = 0;
   Notifier m_changed;
 };
 
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -278,6 +278,10 @@
   auto& group = m_groups[settings.group];
   if (!group) {
     group = std::make_shared<GroupClient>(m_context, settings.group);
+    group->set_list_proof([this] {
+      return ServerListProof{m_servers_follower.position(), m_servers_follower.confirmed_at(),
+                             m_servers_follower.last_response_at()};
+    });
     group->Start();
   }
   const auto plan = m_fleet.Plan(static_cast<std::size_t>(settings.max_connections));
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <random>
 
+#include <fmt/format.h>
+
 #include "async/spawn.h"
 #include "gateway/link_check.h"
 #include "gateway/unmatched_answer_log.h"
@@ -119,8 +121,13 @@
   const auto endpoint = std::make_shared<Endpoint>(
       entry, pool, gate, kBaseWork + (near ? kBaseSameDomain : kBaseOtherDomain));
   m_endpoints[entry.id] = endpoint;
-  m_context.events.Emit(EventCode::kEndpointListed,
-                        {.group = m_id, .endpoint = entry.id, .detail = entry.address});
+  m_context.events.Emit(
+      EventCode::kEndpointListed,
+      {.group = m_id,
+       .endpoint = entry.id,
+       .detail = fmt::format("{}, started {}, {}{}", entry.address, entry.started_ms,
+                             entry.claims_primary ? "primary" : "replica",
+                             entry.leaving ? ", leaving" : "")});
   Spawn(m_context.io,
         [pool]() -> asio::awaitable<void> { co_await pool->Warm(1, Clock::now() + kWarmTimeout); });
 }
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "async/notifier.h"
+#include "core/store_position.h"
 #include "directory/configuration.h"
 #include "failover/outage_rules.h"
 #include "gateway/endpoint.h"
@@ -81,6 +82,15 @@
   TimePoint link_opened_at;
 };
 
+// What the list of servers rests on, for log lines. A value type.
+struct ServerListProof {
+  StorePosition position;
+  // A time at which the store still held this list, if one is known.
+  std::optional<BootTime> confirmed_at;
+  // When a store or a relay last answered.
+  TimePoint answered_at;
+};
+
 // Not thread safe: all use is on the thread of `context`, which must outlive the object.
 class GroupClient : public std::enable_shared_from_this<GroupClient> {
  public:
@@ -185,6 +195,12 @@
   bool IsLatestPrimary(const EndpointPtr& endpoint) const;
   // The servers as the list shows them.
   ServerListSnapshot SnapshotServerList() const;
+  // Sets the source of list_proof().
+  void set_list_proof(std::function<ServerListProof()> proof) { m_list_proof = std::move(proof); }
+  // Nothing if no source was set.
+  std::optional<ServerListProof> list_proof() const {
+    return m_list_proof ? std::optional(m_list_proof()) : std::nullopt;
+  }
   // Servers may be missing from the list for `span`, in which IsListSettled() does not hold.
   void ExpectListChanges(Millis span) { m_list_settles_at = Clock::now() + span; }
   // Whether servers may be missing from the list, see ExpectListChanges.
@@ -256,6 +272,7 @@
   std::optional<TimePoint> m_first_listed;
   BootTime m_first_listed_at;
   TimePoint m_list_settles_at;
+  std::function<ServerListProof()> m_list_proof;
   TimePoint m_connection_limit_seen_at;
   std::optional<EndpointId> m_primary;
   // The server that last answered as the primary, also after it was lost.
--- a/src/gateway/group_client_departed.cc
+++ b/src/gateway/group_client_departed.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace cardamom {
 namespace {
 
@@ -10,6 +12,14 @@
 // Servers enter the list with their first heartbeat; until then the list may be incomplete.
 constexpr Millis kListSettles{3000};
 
+std::string DescribeDrop(const EndpointEntry& known, const EndpointEntry* listed) {
+  const auto text = fmt::format("started {}, {}", known.started_ms, known.address);
+  if (listed == nullptr) {
+    return text + (known.leaving ? ": left" : ": missing in the list");
+  }
+  return fmt::format("{}: listed as started {}, {}", text, listed->started_ms, listed->address);
+}
+
 }  // namespace
 
 void GroupClient::DropMissing(const std::map<EndpointId, const EndpointEntry*>& listed) {
@@ -37,7 +47,11 @@
     departed.announced = it->second->entry.leaving;
     m_departed.push_back(std::move(departed));
     it->second->pool->Retire();
-    m_context.events.Emit(EventCode::kEndpointDropped, {.group = m_id, .endpoint = it->first});
+    m_context.events.Emit(
+        EventCode::kEndpointDropped,
+        {.group = m_id,
+         .endpoint = it->first,
+         .detail = DescribeDrop(it->second->entry, departed.restarted ? found->second : nullptr)});
     if (m_primary == it->first) {
       m_primary.reset();
     }
--- a/src/gateway/group_client_evidence.cc
+++ b/src/gateway/group_client_evidence.cc
@@ -39,7 +39,11 @@
   m_health = PrimaryHealth();
   m_context.events.Emit(
       EventCode::kTermLearned,
-      {.group = m_id, .endpoint = endpoint->entry.id, .term = term, .detail = source});
+      {.group = m_id,
+       .endpoint = endpoint->entry.id,
+       .term = term,
+       .detail = fmt::format("{}, started {}; {}", source, endpoint->entry.started_ms,
+                             acknowledgements().Describe())});
 }
 
 void GroupClient::OnPrimaryAnswer(const EndpointPtr& endpoint,
@@ -106,8 +110,10 @@
   if (m_primary != endpoint->entry.id) {
     return;
   }
-  m_context.events.Emit(EventCode::kPrimaryLostLead,
-                        {.group = m_id, .endpoint = endpoint->entry.id, .term = m_term});
+  m_context.events.Emit(EventCode::kPrimaryLostLead, {.group = m_id,
+                                                      .endpoint = endpoint->entry.id,
+                                                      .term = m_term,
+                                                      .detail = acknowledgements().Describe()});
   m_primary.reset();
   RecordPrimaryLost();
   StartSearch();
--- a/src/gateway/outage_takeover.cc
+++ b/src/gateway/outage_takeover.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "async/spawn.h"
+#include "gateway/takeover_trace.h"
 
 namespace cardamom {
 namespace {
@@ -206,14 +207,18 @@
   held.ordered_successor = successor;
   const auto reservation = *held.reservation;
   const auto token = reservation.token;
+  const auto ordered_at = Clock::now();
   const auto ordered =
       co_await m_order(group->id().value(), successor.value(), held.reservation->holder, token,
                        Clock::now() + kOrderTimeout);
   m_context.metrics.CountOrder(NameOf(ordered));
-  m_context.events.Emit(EventCode::kPromotionOrdered,
-                        {.group = group->id(),
-                         .detail = fmt::format("{} for failed, reserved token {}, {}",
-                                               successor.value(), token, DescribeOrder(ordered))});
+  m_context.events.Emit(
+      EventCode::kPromotionOrdered,
+      {.group = group->id(),
+       .detail =
+           fmt::format("{} for failed, reserved token {}, {}; sent {} ms after the logs:{}",
+                       successor.value(), token, DescribeOrder(ordered, Clock::now() - ordered_at),
+                       ToMillis(ordered_at - held.stopped_at).count(), held.logs)});
   if (!ordered) {
     held.unanswered = true;
     co_return TakeoverResult::kUnfinished;
@@ -233,7 +238,7 @@
     m_context.events.Emit(EventCode::kPrimaryPromoted,
                           {.group = group->id(),
                            .term = group->term(),
-                           .detail = DescribePromoted(successor, *promoted_at)});
+                           .detail = DescribePromoted(*group, successor, *promoted_at, token)});
     m_context.metrics.CountPromotion("done");
   }
   co_return promoted_at ? TakeoverResult::kHasPrimary : TakeoverResult::kUnfinished;
@@ -285,6 +290,8 @@
     co_return TakeoverResult::kBackedOff;
   }
   m_held[group->id()].log_end = choice.log_end;
+  m_held[group->id()].logs = choice.logs;
+  m_held[group->id()].stopped_at = choice.stopped_at;
   co_return co_await Order(group, *choice.successor);
 }
 
--- a/src/gateway/outage_takeover.h
+++ b/src/gateway/outage_takeover.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "directory/table_port.h"
 #include "failover/outage_rules.h"
@@ -57,6 +58,9 @@
     std::optional<EndpointId> ordered_successor;
     // End of its log.
     Position log_end;
+    // As in SuccessorChoice, for the log line of the order.
+    std::string logs;
+    TimePoint stopped_at;
     // An order with the token got no answer.
     bool unanswered = false;
     // The order may be repeated until this time: the servers are stopped, so the logs that were
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -3,9 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include <fmt/format.h>
-
 #include "async/spawn.h"
+#include "gateway/takeover_trace.h"
 
 namespace cardamom {
 namespace {
@@ -85,11 +84,14 @@
       server.stopped = true;
       server.received = successor->received;
       server.was_primary = departed.was_primary;
+      server.trace = successor->trace;
+      server.trace.cause = "log taken over by " + successor->endpoint.value();
       m_servers.push_back(server);
       return;
     }
     server.was_primary = departed.was_primary;
     server.covered_by = PositionCovering(departed, paused);
+    server.trace.cause = DescribeDeparted(departed, paused);
     m_servers.push_back(server);
   }
 
@@ -97,6 +99,7 @@
     StopResult server;
     server.leaving = true;
     server.covered_by = covered_by;
+    server.trace.cause = "departed earlier";
     m_servers.push_back(server);
   }
 
@@ -110,11 +113,14 @@
     server.endpoint = endpoint.entry.id;
     server.leaving = endpoint.entry.leaving;
     server.was_primary = was_primary;
+    server.trace = TraceAnswer(endpoint, answers, was_primary, m_stop_at);
     const auto answer = answers.statuses.find(server.endpoint);
     if (answer != answers.statuses.end() && IsStopped(answer->second, was_primary, m_stop_at) &&
         !HasLostEntries(answer->second, server.endpoint, m_before)) {
       server.stopped = true;
       server.received = answer->second.received;
+    } else if (answer != answers.statuses.end() && server.trace.cause.empty()) {
+      server.trace.cause = "its log is shorter than just before";
     }
     return server;
   }
@@ -148,6 +154,7 @@
     earlier.was_primary = was_primary;
     earlier.leaving = true;
     earlier.covered_by = m_group.watermarks().PositionCovering(ToBootTime(link_opened_at));
+    earlier.trace.cause = "a process that ended before the link was opened";
     m_servers.push_back(earlier);
   }
 
@@ -180,6 +187,7 @@
       if (answer) {
         gathered->answers.statuses[endpoint->entry.id] = answer->status;
         gathered->answers.links_opened_at[endpoint->entry.id] = answer->link_opened_at;
+        gathered->answers.answered_at[endpoint->entry.id] = Clock::now();
       } else {
         gathered->answers.failures.insert_or_assign(endpoint->entry.id, answer.error());
       }
@@ -256,10 +264,10 @@
   co_return results.Take();
 }
 
-asio::awaitable<bool> AreStillStopped(GatewayContext& context,
-                                      std::shared_ptr<GroupClient> group,
-                                      std::vector<StopResult> servers,
-                                      ControlRequest stop) {
+asio::awaitable<RepeatedStop> AreStillStopped(GatewayContext& context,
+                                              std::shared_ptr<GroupClient> group,
+                                              std::vector<StopResult> servers,
+                                              ControlRequest stop) {
   // A stopped primary keeps its log if it restarts, and shows then that it is one again.
   std::erase_if(servers, [&](const StopResult& server) {
     return !server.stopped || !group->Find(server.endpoint);
@@ -270,13 +278,18 @@
     targets.push_back(group->Find(server.endpoint));
   }
   stop.operation = EndpointOperation::kPause;
+  const auto asked_at = Clock::now();
   const auto answers = co_await SendToServers(context, group, targets, stop);
-  co_return std::all_of(servers.begin(), servers.end(), [&](const StopResult& server) {
-    const auto answer = answers.statuses.find(server.endpoint);
-    return answer != answers.statuses.end() &&
-           IsStopped(answer->second, server.was_primary, stop.term) &&
-           answer->second.received == server.received;
-  });
+  RepeatedStop repeated;
+  repeated.is_confirmed =
+      std::all_of(servers.begin(), servers.end(), [&](const StopResult& server) {
+        const auto answer = answers.statuses.find(server.endpoint);
+        return answer != answers.statuses.end() &&
+               IsStopped(answer->second, server.was_primary, stop.term) &&
+               answer->second.received == server.received;
+      });
+  repeated.description = DescribeRepeatedStop(servers, answers, asked_at, Clock::now());
+  co_return repeated;
 }
 
 asio::awaitable<bool> AnyPrimaryWorks(std::shared_ptr<GroupClient> group,
@@ -344,33 +357,4 @@
   co_return std::nullopt;
 }
 
-std::string DescribeStopped(const std::vector<StopResult>& servers) {
-  std::string text;
-  for (const auto& server : servers) {
-    const auto shown = server.stopped ? server.received : server.covered_by.value_or(Position());
-    text +=
-        fmt::format(" {}{}={}.{}{}", server.endpoint.value(), server.was_primary ? "(primary)" : "",
-                    shown.term.value(), shown.index.value(),
-                    server.stopped      ? ""
-                    : server.covered_by ? "(ended, covered by this position)"
-                                        : "(not stopped)");
-  }
-  return text;
-}
-
-std::string DescribeOrder(const Outcome<OrderResult>& ordered) {
-  return ordered ? NameOf(ordered) : ordered.error().detail;
-}
-
-const char* NameOf(const Outcome<OrderResult>& ordered) {
-  if (!ordered) {
-    return "unanswered";
-  }
-  return *ordered == OrderResult::kAccepted ? "accepted" : "rejected";
-}
-
-std::string DescribePromoted(const EndpointId& primary, Position position) {
-  return fmt::format("{} at {}.{}", primary.value(), position.term.value(), position.index.value());
-}
-
 }  // namespace cardamom
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -21,6 +21,8 @@
   ServerStatuses statuses;
   // When the links were opened on which the statuses arrived.
   std::map<EndpointId, TimePoint> links_opened_at;
+  // When they arrived.
+  std::map<EndpointId, TimePoint> answered_at;
   std::map<EndpointId, Error> failures;
 };
 
@@ -47,14 +49,22 @@
                                                      ServerStatuses statuses,
                                                      ControlRequest stop);
 
-// Repeats `stop` to the servers that StopServers stopped, and returns whether each is stopped with
-// the log that it had then. A replica that restarts is not paused any more, and may receive and
-// acknowledge commits of a primary that was not reached. Takes one round trip, at most 400 ms. Not
-// thread safe.
-asio::awaitable<bool> AreStillStopped(GatewayContext& context,
-                                      std::shared_ptr<GroupClient> group,
-                                      std::vector<StopResult> servers,
-                                      ControlRequest stop);
+// What the servers answered when a stop was repeated.
+struct RepeatedStop {
+  // Each is stopped with the log that it had when it was first stopped.
+  bool is_confirmed = false;
+  // For a log line: how long it took, servers that answered on a link that was opened since, and
+  // those that did not stay stopped.
+  std::string description;
+};
+
+// Repeats `stop` to the servers that StopServers stopped. A replica that restarts is not paused any
+// more, and may receive and acknowledge commits of a primary that was not reached. Takes one round
+// trip, at most 400 ms. Not thread safe.
+asio::awaitable<RepeatedStop> AreStillStopped(GatewayContext& context,
+                                              std::shared_ptr<GroupClient> group,
+                                              std::vector<StopResult> servers,
+                                              ControlRequest stop);
 
 // Whether a primary that did not step down still works, or is alive but too busy to answer. Not
 // thread safe.
@@ -77,14 +87,4 @@
 asio::awaitable<std::optional<Position>> WaitUntilPrimary(std::shared_ptr<GroupClient> group,
                                                           EndpointId endpoint);
 
-// How far the logs of `servers` reach, for a log line. Pure and thread safe.
-std::string DescribeStopped(const std::vector<StopResult>& servers);
-
-// The outcome of an order for a log line, and as a label of a metric. Pure and thread safe.
-std::string DescribeOrder(const Outcome<OrderResult>& ordered);
-const char* NameOf(const Outcome<OrderResult>& ordered);
-
-// The new primary and the end of its log, for a log line. Pure and thread safe.
-std::string DescribePromoted(const EndpointId& primary, Position position);
-
 }  // namespace cardamom
--- a/src/gateway/successor_choice.cc
+++ b/src/gateway/successor_choice.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "async/spawn.h"
+#include "gateway/takeover_trace.h"
 
 namespace cardamom {
 namespace {
@@ -107,7 +108,7 @@
   auto servers = co_await StopServers(context, group, statuses, stop);
   SuccessorChoice choice;
   choice.stopped_at = Clock::now();
-  choice.logs = DescribeStopped(servers);
+  choice.logs = DescribeStopped(servers, choice.stopped_at) + DescribeList(*group, "list");
   const auto described = DescribeGroup(*group, statuses, servers);
   choice.stopped_primary = FindStoppedPrimary(described);
   if (!choice.stopped_primary && stopped_before && IsStillStopped(*stopped_before, described)) {
@@ -128,7 +129,7 @@
   }
   hold.Start();
   const auto held = co_await hold.Wait();
-  choice.logs += "; " + DescribeHold(held);
+  choice.logs += "; " + DescribeHold(held, choice.stopped_at);
   // A server that is not known may hold the last commits if the list is changing, or cannot be
   // read. A primary that an earlier attempt stopped may have led again unseen.
   const bool may_miss_servers = !refresh_servers || group->SnapshotServerList().changing ||
@@ -143,7 +144,9 @@
     co_return choice;
   }
   BackgroundRead list(context, std::move(refresh_servers));
-  if (!co_await AreStillStopped(context, group, servers, stop)) {
+  const auto repeated = co_await AreStillStopped(context, group, servers, stop);
+  choice.logs += repeated.description;
+  if (!repeated.is_confirmed) {
     choice.objection = "a server did not stay stopped";
     co_return choice;
   }
@@ -151,6 +154,7 @@
     choice.objection = "the list of servers was not read again";
     co_return choice;
   }
+  choice.logs += DescribeList(*group, "list at the choice");
   if (!WereAllAsked(*group, servers)) {
     choice.objection = "a server was listed after the others were stopped";
     co_return choice;
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -7,6 +7,7 @@
 
 #include "async/spawn.h"
 #include "gateway/group_roster.h"
+#include "gateway/takeover_trace.h"
 
 namespace cardamom {
 namespace {
@@ -384,15 +385,17 @@
     co_return TakeoverResult::kUnfinished;
   }
   claim.stopped_primary.reset();
+  const auto ordered_at = Clock::now();
   const auto ordered =
       co_await m_order(group->id().value(), choice.successor->value(), claim.row.holder,
                        claim.row.token, Clock::now() + kOrderTimeout);
   m_context.metrics.CountOrder(NameOf(ordered));
   claim.announced = claim.announced || ordered.has_value();
   Log(EventCode::kPromotionOrdered, *group,
-      fmt::format("{} for {}, token {}, {}; {} ms after the logs:{}", choice.successor->value(),
-                  NameOf(reason), claim.row.token, DescribeOrder(ordered),
-                  ToMillis(Clock::now() - choice.stopped_at).count(), choice.logs),
+      fmt::format("{} for {}, token {}, {}; sent {} ms after the logs:{}",
+                  choice.successor->value(), NameOf(reason), claim.row.token,
+                  DescribeOrder(ordered, Clock::now() - ordered_at),
+                  ToMillis(ordered_at - choice.stopped_at).count(), choice.logs),
       stop_at);
   if (IsRefused(ordered)) {
     claim.stopped_primary = choice.stopped_primary;
@@ -407,8 +410,8 @@
   const auto promoted_at = co_await WaitUntilPrimary(group, *choice.successor);
   if (promoted_at) {
     m_hold_hooks.release(group->id(), {claim.row.token, Term(leading.value() + 1), choice.log_end});
-    Log(EventCode::kPrimaryPromoted, *group, DescribePromoted(*choice.successor, *promoted_at),
-        group->term());
+    Log(EventCode::kPrimaryPromoted, *group,
+        DescribePromoted(*group, *choice.successor, *promoted_at, claim.row.token), group->term());
     co_await SetOrderOutstanding(*group, claim, false);
     group->ClearStallEvidence();
   }
--- a/src/gateway/takeover_hold.cc
+++ b/src/gateway/takeover_hold.cc
@@ -1,8 +1,10 @@
 #include "gateway/takeover_hold.h"
 
+#include <string_view>
 #include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "async/spawn.h"
 
@@ -12,6 +14,10 @@
 // Longer than the bounded wait of HoldHooks::hold.
 constexpr Millis kLongestWait{1000};
 
+std::string NameAll(std::string_view what, const std::vector<std::string>& vms) {
+  return vms.empty() ? "" : fmt::format("{} {}", what, fmt::join(vms, " "));
+}
+
 }  // namespace
 
 PendingHold::PendingHold(GatewayContext& context,
@@ -45,14 +51,17 @@
   co_return report;
 }
 
-std::string DescribeHold(const HoldReport& report) {
+std::string DescribeHold(const HoldReport& report, TimePoint stopped_at) {
   auto text = fmt::format("passed on {}.{} to {}.{} by {} proxies", report.passed_on.term.value(),
                           report.passed_on.index.value(), report.log_end.term.value(),
                           report.log_end.index.value(), report.answered);
-  for (const auto& vm : report.silent) {
-    text += fmt::format("{}{}", &vm == &report.silent.front() ? ", no answer of " : " ", vm);
+  if (report.asked_at != TimePoint()) {
+    text += fmt::format(" (asked at {:+} ms, complete at {:+} ms)",
+                        ToMillis(report.asked_at - stopped_at).count(),
+                        ToMillis(report.complete_at - stopped_at).count());
   }
-  return text;
+  return text + NameAll(", no answer of", report.silent) +
+         NameAll(", not running", report.not_running) + NameAll(", refused by", report.refused_by);
 }
 
 }  // namespace cardamom
--- a/src/gateway/takeover_hold.h
+++ b/src/gateway/takeover_hold.h
@@ -8,6 +8,7 @@
 
 #include "async/notifier.h"
 #include "cardamom/strong.h"
+#include "core/clock.h"
 #include "failover/acknowledgement_hold.h"
 #include "gateway/gateway_context.h"
 
@@ -25,6 +26,12 @@
   std::size_t answered = 0;
   // VM ids of the proxies that gave no answer in time although they may run.
   std::vector<std::string> silent;
+  // For log lines: the proxies where the connection was refused, those that have seen a greater
+  // token, and when the proxies were first asked and the report was complete.
+  std::vector<std::string> not_running;
+  std::vector<std::string> refused_by;
+  TimePoint asked_at;
+  TimePoint complete_at;
 };
 
 // How a takeover reaches the proxies.
@@ -64,7 +71,7 @@
   std::shared_ptr<State> m_state = std::make_shared<State>();
 };
 
-// The report for a log line. Pure and thread safe.
-std::string DescribeHold(const HoldReport& report);
+// The report for a log line, with times relative to `stopped_at`. Pure and thread safe.
+std::string DescribeHold(const HoldReport& report, TimePoint stopped_at);
 
 }  // namespace cardamom
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -205,6 +205,17 @@
   // Lets the time pass that an attempt waits for accepted orders.
   void PassPromotionTime() { m_table.now_ms += kPromotionTime.count(); }
 
+  // The detail of the latest event with this code; empty if there is none.
+  std::string LatestDetail(EventCode code) const {
+    std::string detail;
+    for (const auto& event : m_gateway.events.Snapshot()) {
+      if (event.code == static_cast<int>(code)) {
+        detail = event.subject.detail;
+      }
+    }
+    return detail;
+  }
+
   FenceRow Row() {
     const auto key = FenceRowKey(GroupId("orders"), m_table.era);
     const auto row = DecodeJson<FenceRow>(m_table.Get("fences", key));
--- a/tests/unit/takeover_hold_test.cc
+++ b/tests/unit/takeover_hold_test.cc
@@ -235,5 +235,53 @@
   EXPECT_LT(Clock::now() - began, Millis(600));
 }
 
+// The lines of a proxy tell what it had passed on when a hold began and what became of the rest.
+TEST_F(TakeoverHoldTest, EventsTellWhatWasPassedOnAndWhatWaited) {
+  ASSERT_TRUE(Write(Millis(1000)).ok());
+  ASSERT_TRUE(Gate().Hold(7));
+  const auto held = LatestDetail(EventCode::kAcknowledgementsHeld);
+  EXPECT_TRUE(held.starts_with("token 7; passed on up to 1.1, log end 1.1; last of 1 passed on "))
+      << held;
+  EXPECT_NE(held.find(" ms ago, from 1.1 to 1.1; before: no token seen"), std::string::npos)
+      << held;
+  for (const std::uint64_t index : {2, 3}) {
+    Spawn(m_gateway.io, [this, index]() -> asio::awaitable<void> {
+      const AcknowledgedCommit commit{{Term(1), LogIndex(index)}, {Term(1), LogIndex(index)}};
+      co_await Gate().PassOn(commit, Clock::now() + Millis(2000));
+    });
+  }
+  Spawn(m_gateway.io, [this]() -> asio::awaitable<void> {
+    const AcknowledgedCommit commit{{Term(1), LogIndex(4)}, {Term(1), LogIndex(4)}};
+    co_await Gate().PassOn(commit, Clock::now() + Millis(10));
+  });
+  Wait(Millis(100));
+  ASSERT_TRUE(Gate().Release({7, Term(2), Position{Term(1), LogIndex(2)}}));
+  const auto released = LatestDetail(EventCode::kAcknowledgementsReleased);
+  EXPECT_TRUE(
+      released.starts_with("token 7, promoted from 1.2; 2 waited: 1 passed on, 1 in doubt, "
+                           "up to 1.3; 1 in doubt before; last of 1 passed on "))
+      << released;
+  EXPECT_NE(released.find("; before: token 7 held for "), std::string::npos) << released;
+  Wait(Millis(50));
+  EXPECT_EQ(Gate().hold().passed_on(), (Position{Term(1), LogIndex(2)}));
+}
+
+TEST_F(TakeoverHoldTest, ReportNamesEveryProxyThatDidNotHold) {
+  const auto stopped_at = Clock::now();
+  HoldReport report;
+  report.passed_on = {Term(1), LogIndex(2)};
+  report.log_end = {Term(1), LogIndex(3)};
+  report.answered = 2;
+  EXPECT_EQ(DescribeHold(report, stopped_at), "passed on 1.2 to 1.3 by 2 proxies");
+  report.asked_at = stopped_at - Millis(4);
+  report.complete_at = stopped_at + Millis(9);
+  report.silent = {"vm-1", "vm-2"};
+  report.not_running = {"vm-3"};
+  report.refused_by = {"vm-4"};
+  EXPECT_EQ(DescribeHold(report, stopped_at),
+            "passed on 1.2 to 1.3 by 2 proxies (asked at -4 ms, complete at +9 ms), no answer of "
+            "vm-1 vm-2, not running vm-3, refused by vm-4");
+}
+
 }  // namespace
 }  // namespace cardamom::testing
--- a/tests/unit/takeover_test.cc
+++ b/tests/unit/takeover_test.cc
@@ -4,8 +4,10 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <regex>
 
 #include "gateway/takeover_coordinator.h"
+#include "gateway/takeover_trace.h"
 #include "takeover_fixture.h"
 
 namespace cardamom::testing {
@@ -208,6 +210,91 @@
   RC_ASSERT(servers[0].endpoint != *chosen || (servers[0].stopped && !servers[0].leaving));
 }
 
+// The line of an order tells who was compared, which process on which link, when, and by which
+// list.
+TEST_F(TakeoverTest, OrderTellsWhatItRestsOn) {
+  m_fake_group.server(1).entry.started_ms = 4711;
+  m_fake_group.server(2).entry.started_ms = 4712;
+  // A proxy that has only seen these processes.
+  StartProxy(m_fake_group.Entries());
+  m_gateway.Run([this]() -> asio::awaitable<void> {
+    co_await m_gateway.group->WaitForPrimary(Clock::now() + Millis(500));
+  });
+  m_gateway.group->set_list_proof([] {
+    return ServerListProof{
+        {StoreEra(2), StoreVersion(33)}, BootClock::now() - Millis(70), Clock::now() - Millis(20)};
+  });
+  ASSERT_TRUE(m_fake_group.Commit(m_fake_group.server(0), "w1"));
+  m_fake_group.server(0).unresponsive = true;
+  ASSERT_TRUE(EndsWithPrimary(TakeoverReason::kFailed));
+  const auto order = LatestDetail(EventCode::kPromotionOrdered);
+  const auto has = [&order](const std::string& pattern) {
+    return std::regex_search(order, std::regex(pattern));
+  };
+  EXPECT_TRUE(has("e1 for failed, token 1, accepted in \\d+ ms; sent \\d+ ms after the logs:"))
+      << order;
+  EXPECT_TRUE(has(" e0\\(primary\\)=0\\.0\\(not stopped\\)\\[[^\\]]*no answer\\]")) << order;
+  EXPECT_TRUE(has(" e1=1\\.1\\[started 4711, link \\d+ ms old, answered \\d+ ms before\\]"))
+      << order;
+  EXPECT_TRUE(has(" e2=1\\.1\\[started 4712, link \\d+ ms old, answered \\d+ ms before\\]"))
+      << order;
+  EXPECT_TRUE(
+      has("; list of 3 servers[^;]*, version 2\\.33, answered 2\\d ms ago, "
+          "held by the store 7\\d ms ago"))
+      << order;
+  EXPECT_TRUE(has("; list at the choice of 3 servers")) << order;
+  EXPECT_TRUE(has("; stop repeated in \\d+ ms e1 paused at 2 e2 paused at 2;")) << order;
+  EXPECT_TRUE(std::regex_search(LatestDetail(EventCode::kPrimaryPromoted),
+                                std::regex("^e1 at \\d+\\.1, started 4711, token 1$")))
+      << LatestDetail(EventCode::kPrimaryPromoted);
+}
+
+TEST_F(TakeoverTest, OrderWithoutAnAnswerIsShownAsOneThatMayBeCarriedOut) {
+  m_fake_group.server(0).unresponsive = true;
+  m_lose_answer = true;
+  EXPECT_FALSE(EndsWithPrimary(TakeoverReason::kFailed));
+  const auto order = LatestDetail(EventCode::kPromotionOrdered);
+  EXPECT_NE(order.find(", outcome unknown, may be carried out: lost; sent "), std::string::npos)
+      << order;
+}
+
+// A server that left, and whose log a later one at its address has, shows no answer of its own.
+TEST(TakeoverTraceTest, EachServerIsShownWithTheReasonForWhichItCounts) {
+  const auto stopped_at = Clock::now();
+  StopResult left;
+  left.endpoint = EndpointId("e2");
+  left.covered_by = Position{Term(1), LogIndex(7)};
+  left.trace.started_ms = 5;
+  left.trace.cause = "departed 4100 ms ago";
+  StopResult replica;
+  replica.endpoint = EndpointId("e1");
+  replica.stopped = true;
+  replica.received = {Term(1), LogIndex(8)};
+  replica.trace = {6, stopped_at - Millis(50), stopped_at - Millis(10), ""};
+  EXPECT_EQ(DescribeStopped({left, replica}, stopped_at),
+            " e2=1.7(ended, covered by this position)[started 5, departed 4100 ms ago]"
+            " e1=1.8[started 6, link 40 ms old, answered 10 ms before]");
+}
+
+// A server that answered the repeated stop on a later link may be another process.
+TEST(TakeoverTraceTest, RepeatedStopShowsOtherLinksAndLogs) {
+  const auto now = Clock::now();
+  StopResult replica;
+  replica.endpoint = EndpointId("e1");
+  replica.stopped = true;
+  replica.received = {Term(1), LogIndex(8)};
+  replica.trace = {6, now - Millis(50), now - Millis(10), ""};
+  ServerAnswers answers;
+  EndpointStatus status;
+  status.received = {Term(1), LogIndex(3)};
+  status.paused_at = Term(2);
+  answers.statuses[replica.endpoint] = status;
+  answers.links_opened_at[replica.endpoint] = now - Millis(4);
+  answers.answered_at[replica.endpoint] = now - Millis(1);
+  EXPECT_EQ(DescribeRepeatedStop({replica}, answers, now - Millis(6), now),
+            "; stop repeated in 6 ms e1=1.3 e1 on another link, 3 ms old e1 paused at 2");
+}
+
 // Guards against attempts that overload the store: a primary is lost while the store is slow, and
 // all homes try to claim the token. In the run store-away-at-crash their calls delayed those of the
 // holder (status 429, and "the token came too late").
