A reserved token counts as unused only by the word of a server that the reservation names

Cause: an order with a reserved token was pending, the platform had accepted it. The next holder announced its token and asked the servers. One that had joined since the reservation was not paused, which MustWaitUntilSettled took as proof that the reserved token was not in use. So it did not wait, resumed the others, and the order was carried out behind new acknowledgements. A server that restarted has forgotten its pause and gave the same false proof, as did one that only the newer of two reservations names.

Change: only a replica counts that every reservation which may be in use names, in the same process: the list shows the named start, and the answer came on a link that is 7 s old (the time until a restart is listed), as StopServers has it. The row keeps the servers that the replaced reservations have in common (replaced_servers); a row without them, by an earlier version or of an earlier era, gives no proof. The model calls the same functions; its list does not show a restart with the log, so such a server gives no proof.

Why it works: the holder of a reserved token orders only after every replica that the reservation names was paused, and only a restart, a resume or a promotion ends a pause. A resume or promotion needs an announcement first.

A proxy that has been up for less than 7 s waits once for each group with an unvoided reservation.

Tests: AnUnusedReservationOfAnotherProxyDelaysNoFailover names the servers and lets links age; before, it had a reservation without servers.

--- a/src/failover/fence_row.h
+++ b/src/failover/fence_row.h
@@ -85,6 +85,9 @@
   std::int64_t settled_at_ms = 0;
   // Greatest token of a reservation that was replaced although its holder may have used it.
   std::uint64_t replaced = 0;
+  // The servers that all reservations up to `replaced` name that are not void. Not set if they are
+  // not known.
+  std::optional<std::vector<ServerIncarnation>> replaced_servers;
   // Not set in a row that was last written by a version without it, or before the first roster.
   std::optional<GroupRoster> roster;
   // Set if no order of any token can have been accepted since the primary was stopped.
@@ -100,6 +103,7 @@
                        void_below,
                        settled_at_ms,
                        replaced,
+                       replaced_servers,
                        roster,
                        stopped_primary))
 
--- a/src/failover/outage_rules.cc
+++ b/src/failover/outage_rules.cc
@@ -1,10 +1,41 @@
 #include "failover/outage_rules.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
 namespace cardamom {
+namespace {
+
+using Incarnations = std::vector<ServerIncarnation>;
+
+bool Contains(const Incarnations& servers, const ServerIncarnation& server) {
+  return std::find(servers.begin(), servers.end(), server) != servers.end();
+}
+
+Incarnations CommonServers(Incarnations servers, const Incarnations& others) {
+  std::erase_if(servers,
+                [&](const ServerIncarnation& server) { return !Contains(others, server); });
+  return servers;
+}
+
+// Whether a reservation that another one replaced may be in use.
+bool IsReplacedOutstanding(const FenceRow& row) {
+  return row.replaced > 0 && row.replaced >= row.void_below;
+}
+
+bool IsReservedOutstanding(const FenceRow& row, const std::optional<TokenReservation>& own_unused) {
+  return row.reserved && row.reserved->token >= row.void_below && row.reserved != own_unused;
+}
+
+// Whether `server` runs as a replica since `reserved` was written and is not paused.
+bool IsUnpausedSince(const Incarnations& reserved, const SurveyedServer& server) {
+  return server.answered && !server.is_primary && server.paused_at <= server.term &&
+         server.started_ms && Contains(reserved, {server.endpoint, *server.started_ms});
+}
+
+}  // namespace
 
 bool MayReserve(const ServerListSnapshot& snapshot, const FenceRow& row, std::int64_t now_ms) {
   return !snapshot.changing && snapshot.servers.size() >= kMinServersForReservation && !row.open &&
@@ -15,6 +46,10 @@
                         TokenReservation reservation,
                         const std::optional<TokenReservation>& own_unused) {
   if (row.reserved && row.reserved != own_unused) {
+    row.replaced_servers =
+        IsReplacedOutstanding(row)
+            ? CommonServers(row.replaced_servers.value_or(Incarnations()), row.reserved->servers)
+            : row.reserved->servers;
     row.replaced = row.reserved->token;
   }
   ++row.token;
@@ -76,15 +111,26 @@
   if (row.open) {
     return OutstandingOrder::kOpenRow;
   }
-  const bool reserved =
-      row.reserved && row.reserved->token >= row.void_below && row.reserved != own_unused;
-  const bool replaced = row.replaced > 0 && row.replaced >= row.void_below;
-  return reserved || replaced ? OutstandingOrder::kReservation : OutstandingOrder::kNone;
+  return IsReservedOutstanding(row, own_unused) || IsReplacedOutstanding(row)
+             ? OutstandingOrder::kReservation
+             : OutstandingOrder::kNone;
+}
+
+std::vector<ServerIncarnation> FindReservedServers(
+    const FenceRow& row,
+    const std::optional<TokenReservation>& own_unused) {
+  const bool reserved = IsReservedOutstanding(row, own_unused);
+  if (!IsReplacedOutstanding(row)) {
+    return reserved ? row.reserved->servers : Incarnations();
+  }
+  auto servers = row.replaced_servers.value_or(Incarnations());
+  return reserved ? CommonServers(std::move(servers), row.reserved->servers) : servers;
 }
 
 bool MustWaitUntilSettled(OutstandingOrder reason,
                           bool shows_no_takeover,
-                          const std::vector<SurveyedServer>& servers) {
+                          const std::vector<SurveyedServer>& servers,
+                          const std::vector<ServerIncarnation>& reserved) {
   switch (reason) {
     case OutstandingOrder::kNone:
       return false;
@@ -93,8 +139,8 @@
     case OutstandingOrder::kLostHistory:
       return !shows_no_takeover;
     case OutstandingOrder::kReservation:
-      return std::none_of(servers.begin(), servers.end(), [](const SurveyedServer& server) {
-        return server.answered && !server.is_primary && server.paused_at <= server.term;
+      return std::none_of(servers.begin(), servers.end(), [&](const SurveyedServer& server) {
+        return IsUnpausedSince(reserved, server);
       });
   }
   return true;
--- a/src/failover/outage_rules.h
+++ b/src/failover/outage_rules.h
@@ -48,6 +48,8 @@
   Term term;
   // The term at which the server was paused; 0 if it was not.
   Term paused_at;
+  // Start of the process that answered; not set if it is not known.
+  std::optional<std::int64_t> started_ms;
 };
 
 // Returns why the reservation must not be used, or nothing if it may. The list must show the same
@@ -83,13 +85,22 @@
                                       bool history_lost,
                                       const std::optional<TokenReservation>& own_unused);
 
+// The servers that every reservation names which may be in use; none if one of them is not known.
+// Arguments as for FindOutstandingOrder. Pure and thread safe.
+std::vector<ServerIncarnation> FindReservedServers(
+    const FenceRow& row,
+    const std::optional<TokenReservation>& own_unused);
+
 // Whether a holder whose token the platform has seen must wait until orders that were accepted
 // before are carried out. Its servers, asked since, may show that there are none: a holder stops
-// servers before it sends an order, and the holder of a reserved token stops all replicas.
-// `shows_no_takeover`: see ShowNoTakeover. Pure and thread safe.
+// servers before it sends an order. The holder of a reserved token stops all replicas that the
+// reservation names, so only one of these shows that it sent none: a server that joined later was
+// not paused, and one that restarted has forgotten that it was. `shows_no_takeover`: see
+// ShowNoTakeover. `reserved`: see FindReservedServers. Pure and thread safe.
 bool MustWaitUntilSettled(OutstandingOrder reason,
                           bool shows_no_takeover,
-                          const std::vector<SurveyedServer>& servers);
+                          const std::vector<SurveyedServer>& servers,
+                          const std::vector<ServerIncarnation>& reserved);
 
 // Whether another proxy reports the store as up to date or unavailable; kNoAnswer if the proxy did
 // not answer.
--- a/src/gateway/server_poll.cc
+++ b/src/gateway/server_poll.cc
@@ -242,7 +242,7 @@
   auto reached = primaries;
   std::erase_if(reached,
                 [&](const auto& endpoint) { return !statuses.contains(endpoint->entry.id); });
-  const auto restarts_listed_until = stop.opened_before.value_or(Clock::now() - kRestartIsListed);
+  const auto restarts_listed_until = stop.opened_before.value_or(RestartsListedUntil());
   stop.prefer_opened_before = restarts_listed_until;
   stop.operation = EndpointOperation::kStepDown;
   const auto stepped = co_await SendToServers(context, group, reached, stop);
@@ -317,6 +317,23 @@
   return servers;
 }
 
+TimePoint RestartsListedUntil() {
+  return Clock::now() - kRestartIsListed;
+}
+
+std::vector<SurveyedServer> ToSurveyedServers(const GroupClient& group,
+                                              const ServerAnswers& answers) {
+  const auto listed_until = RestartsListedUntil();
+  auto servers = ToSurveyedServers(answers.statuses);
+  for (auto& server : servers) {
+    const auto endpoint = group.Find(server.endpoint);
+    if (endpoint && answers.links_opened_at.at(server.endpoint) < listed_until) {
+      server.started_ms = endpoint->entry.started_ms;
+    }
+  }
+  return servers;
+}
+
 bool IsAnyPaused(const ServerStatuses& statuses) {
   return std::any_of(statuses.begin(), statuses.end(),
                      [](const auto& entry) { return entry.second.paused_at > entry.second.term; });
--- a/src/gateway/server_poll.h
+++ b/src/gateway/server_poll.h
@@ -26,6 +26,9 @@
   std::map<EndpointId, Error> failures;
 };
 
+// The list shows every process that started before this time. Thread safe.
+TimePoint RestartsListedUntil();
+
 // Sends `order` to all of `targets` at once and collects the answers that arrive in time: 250 ms
 // for a status, 400 ms for anything else. Not thread safe.
 asio::awaitable<ServerAnswers> SendToServers(GatewayContext& context,
@@ -74,6 +77,11 @@
 // What the servers in `statuses` reported. Pure and thread safe.
 std::vector<SurveyedServer> ToSurveyedServers(const ServerStatuses& statuses);
 
+// As above, with the start of each server that answered on a link from before RestartsListedUntil.
+// Not thread safe.
+std::vector<SurveyedServer> ToSurveyedServers(const GroupClient& group,
+                                              const ServerAnswers& answers);
+
 // Whether a server is paused at a newer term than that of its log. Pure and thread safe.
 bool IsAnyPaused(const ServerStatuses& statuses);
 
--- a/src/gateway/takeover.cc
+++ b/src/gateway/takeover.cc
@@ -109,6 +109,7 @@
   claim.roster = loaded->roster;
   claim.outstanding = FindOutstandingOrder(claim.row, loaded->IsHistoryLost(),
                                            OwnUnusedReservation(group, claim.row));
+  claim.reserved_servers = FindReservedServers(claim.row, OwnUnusedReservation(group, claim.row));
   if (claim.outstanding == OutstandingOrder::kNone) {
     claim.stopped_primary = claim.row.stopped_primary;
   }
@@ -251,7 +252,8 @@
                          reason == TakeoverReason::kStalled && !is_held);
   ServerStatuses statuses;
   if (may_keep) {
-    statuses = co_await Survey(group);
+    const auto answers = co_await Survey(group);
+    statuses = answers.statuses;
     const auto healthy = co_await FindHealthyPrimary(group, reason, statuses);
     if (healthy && (claim.outstanding == OutstandingOrder::kNone || !IsAnyPaused(statuses))) {
       co_return co_await KeepPrimary(group, claim, *healthy, statuses);
@@ -264,10 +266,10 @@
     }
     // The logs that are compared must be read after the last moment at which an earlier order could
     // be accepted, and after those accepted until then were carried out.
-    auto surveyed_again = co_await Survey(group);
-    const auto before = std::exchange(statuses, std::move(surveyed_again));
+    const auto surveyed_again = co_await Survey(group);
+    const auto before = std::exchange(statuses, surveyed_again.statuses);
     if (MustWaitUntilSettled(claim.outstanding, ShowNoTakeover(*group, statuses),
-                             ToSurveyedServers(statuses))) {
+                             ToSurveyedServers(*group, surveyed_again), claim.reserved_servers)) {
       co_return co_await WaitUntilSettled(group, claim);
     }
     const bool checked =
--- a/src/gateway/takeover.h
+++ b/src/gateway/takeover.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "directory/table_port.h"
 #include "failover/fence_row.h"
@@ -54,6 +55,8 @@
     FenceRow row;
     std::optional<GroupRoster> roster;
     OutstandingOrder outstanding = OutstandingOrder::kNone;
+    // See FindReservedServers.
+    std::vector<ServerIncarnation> reserved_servers;
     // The primary that this attempt or an earlier one stopped, if no order has been sent since.
     std::optional<StoppedPrimary> stopped_primary;
     // The platform has seen the token.
@@ -78,7 +81,7 @@
   // token is valid.
   asio::awaitable<bool> AnnounceToken(const GroupClient& group, Claim& claim);
   // The statuses of all listed servers that answer.
-  asio::awaitable<ServerStatuses> Survey(std::shared_ptr<GroupClient> group);
+  asio::awaitable<ServerAnswers> Survey(std::shared_ptr<GroupClient> group);
   // Replaces the group's fence row by `change(row, the store's clock)`. Returns false if another
   // token has been claimed or reserved since, or the store does not answer.
   asio::awaitable<bool> UpdateRow(const GroupClient& group,
--- a/src/gateway/takeover_survey.cc
+++ b/src/gateway/takeover_survey.cc
@@ -14,14 +14,13 @@
 
 }  // namespace
 
-asio::awaitable<ServerStatuses> Takeover::Survey(std::shared_ptr<GroupClient> group) {
+asio::awaitable<ServerAnswers> Takeover::Survey(std::shared_ptr<GroupClient> group) {
   std::vector<GroupClient::EndpointPtr> all;
   for (const auto& [id, endpoint] : group->endpoints()) {
     all.push_back(endpoint);
   }
-  const ControlRequest question;
-  auto answers = co_await SendToServers(m_context, group, all, question);
-  co_return std::move(answers.statuses);
+  const ControlRequest question{.prefer_opened_before = RestartsListedUntil()};
+  co_return co_await SendToServers(m_context, group, all, question);
 }
 
 asio::awaitable<bool> Takeover::ConfirmStall(std::shared_ptr<GroupClient> group,
--- a/tests/unit/outage_takeover_test.cc
+++ b/tests/unit/outage_takeover_test.cc
@@ -33,6 +33,24 @@
     ASSERT_TRUE(Row().reserved);
   }
 
+  // Lets time pass until the list shows the processes that the links lead to.
+  void LetLinksAge() {
+    OpenReplicaLinks();
+    Wait(Millis(3600));
+    Wait(Millis(3600));
+  }
+
+  // Records that `holder` reserved token 8 while the group had the servers `reserved`.
+  void RecordReservation(const std::string& holder, const std::vector<EndpointEntry>& reserved) {
+    FenceRow row;
+    row.token = 8;
+    row.reserved = TokenReservation{8, holder, Term(1), {}};
+    for (const auto& entry : reserved) {
+      row.reserved->servers.push_back({entry.id, entry.started_ms});
+    }
+    m_table.Put("fences", "orders", EncodeJson(row));
+  }
+
   // Makes the store unavailable to everyone. Only links opened at least 5 s before the loss of the
   // store are trusted, so the loss is dated 5 s ahead to have those opened so far trusted.
   void MakeStoreUnavailable() {
@@ -179,15 +197,48 @@
 
 // A reservation that nobody has used must not delay a failover.
 TEST_F(OutageTakeoverTest, AnUnusedReservationOfAnotherProxyDelaysNoFailover) {
-  FenceRow row;
-  row.token = 8;
-  row.reserved = TokenReservation{8, "vm-2", Term(1), {}};
-  m_table.Put("fences", "orders", EncodeJson(row));
+  RecordReservation("vm-2", m_fake_group.Entries());
+  LetLinksAge();
   m_fake_group.server(0).unresponsive = true;
   EXPECT_EQ(Run(TakeoverReason::kFailed), TakeoverResult::kHasPrimary);
   EXPECT_EQ(HandleOrder("e2", 8), OrderResult::kRejected);
 }
 
+// Guards against a lost commit: the holder of a reserved token has stopped the replicas that it
+// knows, and its order is pending. A server that joined since is not paused, so the next holder
+// resumed the others, and the order was carried out behind commits acknowledged then.
+TEST_F(OutageTakeoverTest, AServerThatJoinedSinceDoesNotShowThatTheReservedTokenIsUnused) {
+  RecordReservation("vm-2", EntriesWithout("e2"));
+  m_fake_group.server(1).paused_at = Term(2);
+  LetLinksAge();
+  EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kUnfinished);
+  EXPECT_TRUE(m_orders.empty());
+  EXPECT_EQ(m_fake_group.server(1).paused_at, Term(2));
+  EXPECT_GT(Row().settled_at_ms, m_table.now_ms);
+}
+
+// As above, with a server that restarted since, as the list shows.
+TEST_F(OutageTakeoverTest, AServerThatRestartedSinceDoesNotShowThatTheReservedTokenIsUnused) {
+  auto reserved = m_fake_group.Entries();
+  reserved.back().started_ms -= 1;
+  RecordReservation("vm-2", reserved);
+  m_fake_group.server(1).paused_at = Term(2);
+  LetLinksAge();
+  EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kUnfinished);
+  EXPECT_EQ(m_fake_group.server(1).paused_at, Term(2));
+}
+
+// As above, with a server whose restart the list may not show yet.
+TEST_F(OutageTakeoverTest, AServerThatMayHaveJustRestartedDoesNotShowThatTheReservedTokenIsUnused) {
+  RecordReservation("vm-2", m_fake_group.Entries());
+  m_fake_group.server(1).paused_at = Term(2);
+  LetLinksAge();
+  m_fake_group.Exit(m_fake_group.server(2));
+  m_fake_group.Restart(m_fake_group.server(2), m_fake_group.server(2).entry.started_ms);
+  EXPECT_EQ(Run(TakeoverReason::kStalled), TakeoverResult::kUnfinished);
+  EXPECT_EQ(m_fake_group.server(1).paused_at, Term(2));
+}
+
 TEST_F(OutageTakeoverTest, AReservationIsMadeOncePerTermAndServers) {
   OpenReplicaLinks();
   Reserve();
@@ -234,5 +285,74 @@
   EXPECT_EQ(FindOutstandingOrder(row, false, row.reserved), OutstandingOrder::kNone);
 }
 
+class ReservedServersTest : public ::testing::Test {
+ protected:
+  static TokenReservation Reservation(std::vector<ServerIncarnation> servers) {
+    return {0, "vm-1", Term(1), std::move(servers)};
+  }
+  static SurveyedServer Replica(const ServerIncarnation& server) {
+    return {server.endpoint, true, false, Term(1), Term(), server.started_ms};
+  }
+  // Whether a holder must wait though `server` is a replica that is not paused.
+  static bool MustWait(const FenceRow& row, const ServerIncarnation& server) {
+    return MustWaitUntilSettled(FindOutstandingOrder(row, false, std::nullopt), false,
+                                {Replica(server)}, FindReservedServers(row, std::nullopt));
+  }
+
+  const ServerIncarnation m_a{EndpointId("a"), 1};
+  const ServerIncarnation m_b{EndpointId("b"), 1};
+  const ServerIncarnation m_c{EndpointId("c"), 1};
+  const ServerIncarnation m_d{EndpointId("d"), 1};
+};
+
+TEST_F(ReservedServersTest, OnlyAProcessThatTheReservationNamesShowsThatItIsUnused) {
+  const auto row = AddReservation(FenceRow(), Reservation({m_a, m_b, m_c}));
+  EXPECT_FALSE(MustWait(row, m_b));
+  EXPECT_TRUE(MustWait(row, m_d));
+  EXPECT_TRUE(MustWait(row, {EndpointId("b"), 2}));
+  auto unknown = Replica(m_b);
+  unknown.started_ms.reset();
+  EXPECT_TRUE(
+      MustWaitUntilSettled(OutstandingOrder::kReservation, false, {unknown}, {m_a, m_b, m_c}));
+}
+
+// The holder of a reservation that was replaced may use it without access to the store.
+TEST_F(ReservedServersTest, AServerMustBeNamedByEveryReservationThatMayBeInUse) {
+  auto row = AddReservation(FenceRow(), Reservation({m_a, m_b, m_c}));
+  row = AddReservation(row, Reservation({m_a, m_b, m_d}));
+  EXPECT_FALSE(MustWait(row, m_b));
+  EXPECT_TRUE(MustWait(row, m_c));
+  EXPECT_TRUE(MustWait(row, m_d));
+  row = AddReservation(row, Reservation({m_a, m_c, m_d}));
+  EXPECT_TRUE(MustWait(row, m_b));
+  EXPECT_FALSE(MustWait(row, m_a));
+  row.void_below = row.token;
+  EXPECT_FALSE(MustWait(row, m_c));
+}
+
+TEST_F(ReservedServersTest, AReservationThatTheClaimantHoldsUnusedIsLeftOut) {
+  const auto row = AddReservation(FenceRow(), Reservation({m_a, m_b, m_c}));
+  const auto next = AddReservation(row, Reservation({m_a, m_b, m_d}), row.reserved);
+  EXPECT_FALSE(MustWait(next, m_d));
+  EXPECT_TRUE(FindReservedServers(row, row.reserved).empty());
+}
+
+// The row of an earlier version, or of an earlier era, does not tell the servers.
+TEST_F(ReservedServersTest, NoServerShowsThatAnUnknownReservationIsUnused) {
+  auto row = AddReservation(InitialFenceRow(StoreEra(1)), Reservation({m_a, m_b, m_c}));
+  row.open = false;
+  EXPECT_TRUE(MustWait(row, m_b));
+  row = AddReservation(row, Reservation({m_a, m_b, m_c}));
+  EXPECT_TRUE(MustWait(row, m_b));
+}
+
+TEST_F(ReservedServersTest, TheRowKeepsTheServersOfReplacedReservations) {
+  auto row = AddReservation(FenceRow(), Reservation({m_a, m_b, m_c}));
+  row = AddReservation(row, Reservation({m_a, m_b, m_d}));
+  const auto decoded = DecodeJson<FenceRow>(EncodeJson(row));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->replaced_servers, row.replaced_servers);
+}
+
 }  // namespace
 }  // namespace cardamom::testing
--- a/tests/unit/takeover_attempt.cc
+++ b/tests/unit/takeover_attempt.cc
@@ -93,15 +93,24 @@
   Enter(Stage::kSurvey, 0);
 }
 
-OutstandingOrder Proxy::FindOutstanding() const {
+FenceRow Proxy::RowBeforeClaim() const {
   auto row = m_row;
-  row.open = row.open && !m_world.IsDisabled(Rule::kOpenRow);
+  row.open = row.open && !m_world.IsDisabled(Rule::kOpenRow) && !m_history_lost;
   if (m_world.IsDisabled(Rule::kReservationMayBeUsed)) {
     row.reserved.reset();
   }
+  return row;
+}
+
+OutstandingOrder Proxy::FindOutstanding() const {
   const bool history_lost = m_history_lost && !m_world.IsDisabled(Rule::kHistoryLost);
-  row.open = row.open && !m_history_lost;
-  return FindOutstandingOrder(row, history_lost, OwnUnusedReservation());
+  return FindOutstandingOrder(RowBeforeClaim(), history_lost, OwnUnusedReservation());
+}
+
+std::vector<ServerIncarnation> Proxy::ReservedServers() const {
+  return m_world.IsDisabled(Rule::kReservedServersShow)
+             ? SnapshotServerList().servers
+             : FindReservedServers(RowBeforeClaim(), OwnUnusedReservation());
 }
 
 void Proxy::InspectSurvey() {
@@ -151,7 +160,8 @@
     return;
   }
   m_survey = m_answers;
-  const bool must_wait = MustWaitUntilSettled(FindOutstanding(), ShowsNoTakeover(), Surveyed());
+  const bool must_wait =
+      MustWaitUntilSettled(FindOutstanding(), ShowsNoTakeover(), Surveyed(), ReservedServers());
   if (must_wait && !m_world.IsDisabled(Rule::kWaitUntilSettled)) {
     return BeginUpdate(Update::kSettle);
   }
--- a/tests/unit/takeover_fixture.h
+++ b/tests/unit/takeover_fixture.h
@@ -142,8 +142,10 @@
   bool EndsWithPrimaryAfterRestart() {
     const auto started_at = Clock::now();
     bool has_primary = false;
+    const auto store_started_ms = m_table.now_ms;
     while (!has_primary && Clock::now() - started_at < Millis(9000)) {
       Wait(Millis(200));
+      m_table.now_ms = store_started_ms + ToMillis(Clock::now() - started_at).count();
       has_primary = EndsWithPrimary(TakeoverReason::kFailed);
     }
     return has_primary;
--- a/tests/unit/takeover_model_test.cc
+++ b/tests/unit/takeover_model_test.cc
@@ -338,6 +338,14 @@
   EXPECT_TRUE(Walk(45'282, Rule::kNone, options).Run());
 }
 
+// Guards against an order with a reserved token that is carried out behind the comparison of the
+// next holder: a server that joined since the reservation is not paused. Few walks show this.
+TEST(TakeoverModelTest, TheStatusOfAServerThatJoinedSinceTheReservationLosesACommit) {
+  const auto options = WithFleetRestarts(kWithMembershipChanges);
+  EXPECT_FALSE(Walk(171'207, Rule::kReservedServersShow, options).Run());
+  EXPECT_TRUE(Walk(171'207, Rule::kNone, options).Run());
+}
+
 // kReservationChecks and kMarkBeforeStopping are left out: without them hardly a walk loses a
 // commit. An announcement makes a reserved token void, and a row is only marked while its token is
 // the last one. So are kHoldsGrow, kRefusalOfEachCopy, kReadListAgain and kRosterPosition, which
--- a/tests/unit/takeover_proxy.cc
+++ b/tests/unit/takeover_proxy.cc
@@ -9,6 +9,8 @@
 constexpr int kControlTimeout = 400;
 constexpr std::int64_t kGoneAfterProcessExit = 4000;
 constexpr std::int64_t kGoneAfterNoAnswer = 8000;
+// The list shows a restart of a server after this time.
+constexpr std::int64_t kListPropagationTime = 5000;
 constexpr std::int64_t kDepartedRetention = 30'000;
 constexpr int kMaxSuspension = 6000;
 
@@ -209,7 +211,15 @@
 std::vector<SurveyedServer> Proxy::Surveyed() const {
   std::vector<SurveyedServer> surveyed;
   for (const auto& [i, status] : m_answers) {
-    surveyed.push_back({IdOf(i), true, status.is_primary, status.term, status.paused_at});
+    SurveyedServer server{IdOf(i), true, status.is_primary, status.term, status.paused_at, {}};
+    // The model's list does not show that a server restarted with its log.
+    const auto since = m_group.At(i).since;
+    if (m_world.IsDisabled(Rule::kReservedServersShow)) {
+      server.started_ms = m_list[static_cast<std::size_t>(i)].started_ms;
+    } else if (since <= m_world.now() - kListPropagationTime) {
+      server.started_ms = std::max(m_list[static_cast<std::size_t>(i)].started_ms, since);
+    }
+    surveyed.push_back(server);
   }
   return surveyed;
 }
--- a/tests/unit/takeover_proxy.h
+++ b/tests/unit/takeover_proxy.h
@@ -121,7 +121,9 @@
   void LoadRow();
   FenceClaim DecideClaim(const Store::Loaded& loaded, const std::string& self) const;
   void Claim();
+  FenceRow RowBeforeClaim() const;
   OutstandingOrder FindOutstanding() const;
+  std::vector<ServerIncarnation> ReservedServers() const;
   void InspectSurvey();
   void Announce();
   void InspectAnnouncement();
--- a/tests/unit/takeover_world.h
+++ b/tests/unit/takeover_world.h
@@ -29,6 +29,8 @@
   kReservationChecks,
   // A reservation in the row counts as one that was not used.
   kReservationMayBeUsed,
+  // Any replica that is not paused shows that no reserved token is in use.
+  kReservedServersShow,
   // A reservation is forgotten once another one replaces it.
   kReplacedReservation,
   // A group whose row was lost in a restore counts as one without an outstanding order.
