Model: requests to servers that are carried out up to 3 s late

Cause: RESUME carries no term. One of an attempt that gave up is carried out after the pause by the next attempt, so the old primary acknowledges commits through that replica. Pauses and steps down are late too, so an old pause that IsStopped accepts is walked as well. By reading, not shown by a walk of its own: such a replica is paused, and loses commits only if the pause ends before the promotion, as by a late resume or a restart.

Change: an option of the walks by which requests take up to 3 s, as long as a server keeps a connection whose remote end is unreachable. No product code.

The product repeats the stop just before the order, which the model does not have.

--- a/tests/unit/takeover_model_test.cc
+++ b/tests/unit/takeover_model_test.cc
@@ -237,6 +237,24 @@
   ExpectNoLostCommit(options);
 }
 
+// Guards against a resume that lets the old primary acknowledge commits during a later takeover,
+// and against a pause by an earlier holder that counts as that of the present one.
+TEST(TakeoverModelTest, NoAcknowledgedCommitIsEverLostByRequestsThatServersCarryOutLate) {
+  for (auto options : {kWithOverlaps, WithJoins(), WithAbandonedStops(kWithMembershipChanges)}) {
+    options.delayed_requests = true;
+    options.late_requests = true;
+    options.needs_all_proxies = true;
+    ExpectNoLostCommit(options);
+  }
+}
+
+// As above, with a proxy that does not hear of the hold in time.
+TEST(TakeoverModelTest, NoAcknowledgedCommitIsEverLostByLateRequestsBesideASilentProxy) {
+  auto options = kWithOverlaps;
+  options.late_requests = true;
+  ExpectNoLostCommit(options);
+}
+
 // Guards against holds that outlive or do not outlive their holder.
 TEST(TakeoverModelTest, NoAcknowledgedCommitIsEverLostByHoldersThatDie) {
   ExpectNoLostCommit({.cuts = true, .delayed_requests = true, .holder_deaths = true});
--- a/tests/unit/takeover_proxy.cc
+++ b/tests/unit/takeover_proxy.cc
@@ -7,6 +7,8 @@
 
 constexpr std::int64_t kStatusTimeout = 250;
 constexpr int kControlTimeout = 400;
+// A server drops a connection whose remote end is unreachable for longer.
+constexpr int kMaxRequestDelay = 3000;
 constexpr std::int64_t kGoneAfterProcessExit = 4000;
 constexpr std::int64_t kGoneAfterNoAnswer = 8000;
 // The list shows a restart of a server after this time.
@@ -264,7 +266,10 @@
   for (const int i : servers) {
     const bool late =
         m_world.options().delayed_requests && m_world.OneIn(m_world.options().contended ? 2 : 8);
-    const auto delay = m_world.Pick(late ? kControlTimeout : 30);
+    std::int64_t delay = m_world.Pick(late ? kControlTimeout : 30);
+    if (m_world.options().late_requests && m_world.PickForFleet(6) == 0) {
+      delay += m_world.PickForFleet(kMaxRequestDelay);
+    }
     m_requests.push_back({i, operation, term, m_world.now() + delay, m_round});
   }
 }
--- a/tests/unit/takeover_world.h
+++ b/tests/unit/takeover_world.h
@@ -93,6 +93,8 @@
   bool slow_platform = false;
   // Requests to servers may take up to their time-out, and their answers may be lost.
   bool delayed_requests = false;
+  // Requests to servers may be carried out up to 3 s after they were sent, beyond their time-out.
+  bool late_requests = false;
   // Proxies often take over although the primary answers, and many requests to servers take long.
   bool contended = false;
   // Calls to the store may take up to their time-out, and be carried out seconds later.
