Event 502: no use of a departed server after it was moved

Cause: the detail of event 502, added with the lines of takeovers, read DepartedServer::restarted after the object had been moved from.

Change: the listed entry is taken before the move.

--- a/src/gateway/group_client_departed.cc
+++ b/src/gateway/group_client_departed.cc
@@ -45,13 +45,13 @@
     }
     departed.was_primary = IsLatestPrimary(it->second);
     departed.announced = it->second->entry.leaving;
+    const auto* listed_now = departed.restarted ? found->second : nullptr;
     m_departed.push_back(std::move(departed));
     it->second->pool->Retire();
-    m_context.events.Emit(
-        EventCode::kEndpointDropped,
-        {.group = m_id,
-         .endpoint = it->first,
-         .detail = DescribeDrop(it->second->entry, departed.restarted ? found->second : nullptr)});
+    m_context.events.Emit(EventCode::kEndpointDropped,
+                          {.group = m_id,
+                           .endpoint = it->first,
+                           .detail = DescribeDrop(it->second->entry, listed_now)});
     if (m_primary == it->first) {
       m_primary.reset();
     }
